--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+.PHONY: build run test fmt vet lint unit known generate bench
+
+build:
+	go build -o bin/ ./cmd/...
+
+# run replays a recorded surge with the layer and without it.
+run: build
+	bin/shelf-replay run --scale 0.3 traces/county-surge.jsonc
+
+test: fmt vet lint unit known
+
+fmt:
+	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "run gofmt -w cmd internal"; exit 1; }
+
+vet:
+	go vet ./...
+
+lint:
+	go tool revive -config revive.toml -set_exit_status ./...
+
+unit:
+	go test -race ./...
+
+known:
+	@if [ -s KNOWN-RED.txt ]; then echo "known failures:"; cat KNOWN-RED.txt; fi
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+# generate needs protoc; its output is committed.
+generate:
+	mkdir -p bin && go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	cd internal/wire/encoder && PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative wire.proto
--- /dev/null
+++ b/internal/cli/commander/cmd_node.go
@@ -0,0 +1,121 @@
+package commander
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/runner"
+)
+
+var nodeCommand = command{
+	name:  "node",
+	short: "Run the process beside a backend server",
+	long:  "Runs one node. SIGTERM drains it; a second signal stops it at once.",
+	options: func(env *environment) flags.Commander {
+		return &nodeRun{
+			env: env,
+		}
+	},
+}
+
+type nodeRun struct {
+	env            *environment
+	Config         string   `long:"config" value-name:"FILE" required:"true" description:"Process settings, JSON with comments"`
+	CallAddress    string   `long:"call-address" value-name:"IP:PORT" description:"Override callAddress"`
+	AdminAddress   string   `long:"admin-address" value-name:"IP:PORT" description:"Override adminAddress"`
+	PeerAddress    string   `long:"peer-address" value-name:"IP:PORT" description:"Override peerAddress"`
+	BackendAddress string   `long:"backend-address" value-name:"IP:PORT" description:"Override backendAddress"`
+	LogURL         string   `long:"log" value-name:"URL" description:"Override logUrl"`
+	Contacts       []string `long:"contact" value-name:"IP:PORT" description:"Add a first contact; may be repeated"`
+	LogLevel       string   `long:"log-level" choice:"error" choice:"warning" choice:"info" choice:"debug" description:"Override logLevel"`
+}
+
+// Execute implements flags.Commander.
+func (n *nodeRun) Execute([]string) error {
+	config, err := n.read()
+	if err != nil {
+		return err
+	}
+	log := newLogger(n.env, config.LogLevel)
+	node, err := runner.New(config, log)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		node.Drain()
+		<-signals
+		cancel()
+	}()
+	return node.Run(ctx)
+}
+
+// read returns the file's settings with the flags applied.
+func (n *nodeRun) read() (configurer.Config, error) {
+	content, err := os.ReadFile(n.Config)
+	if err != nil {
+		return configurer.Config{}, errors.Wrap(err, "read process settings")
+	}
+	config, findings := configurer.Parse(n.Config, content)
+	if err := findings.Err(); err != nil {
+		return configurer.Config{}, err
+	}
+	for _, override := range []struct {
+		flag    string
+		text    string
+		address *netip.AddrPort
+	}{
+		{flag: "--call-address", text: n.CallAddress, address: &config.CallAddress},
+		{flag: "--admin-address", text: n.AdminAddress, address: &config.AdminAddress},
+		{flag: "--peer-address", text: n.PeerAddress, address: &config.PeerAddress},
+		{flag: "--backend-address", text: n.BackendAddress, address: &config.BackendAddress},
+	} {
+		if override.text == "" {
+			continue
+		}
+		if *override.address, err = netip.ParseAddrPort(override.text); err != nil {
+			return configurer.Config{}, errors.Wrapf(err, "flag %s", override.flag)
+		}
+	}
+	for _, text := range n.Contacts {
+		contact, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return configurer.Config{}, errors.Wrap(err, "flag --contact")
+		}
+		config.Contacts = append(config.Contacts, contact)
+	}
+	if n.LogURL != "" {
+		config.LogURL = n.LogURL
+	}
+	if n.LogLevel != "" {
+		config.LogLevel = n.LogLevel
+	}
+	return config, nil
+}
+
+// newLogger returns a logger of one key=value line for each event.
+func newLogger(env *environment, level string) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(env.stderr)
+	log.SetFormatter(&logrus.TextFormatter{
+		DisableColors:   true,
+		FullTimestamp:   true,
+		TimestampFormat: "2006-01-02T15:04:05.000000Z07:00",
+	})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+	return log
+}
--- /dev/null
+++ b/internal/cli/commander/cmd_status.go
@@ -0,0 +1,56 @@
+package commander
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/process/administrator"
+)
+
+var statusCommand = command{
+	name:  "status",
+	short: "Print the state of all nodes",
+	long:  "Asks one node for its members and every member for its limit, load, threshold and settings version in force.",
+	options: func(env *environment) flags.Commander {
+		return &statusRun{
+			env: env,
+		}
+	},
+}
+
+type statusRun struct {
+	env *environment
+	nodeOptions
+}
+
+type statusReport struct {
+	Nodes       []administrator.Status `json:"nodes"`
+	Unreachable []administrator.Member `json:"unreachable"`
+}
+
+// Execute implements flags.Commander.
+func (s *statusRun) Execute([]string) error {
+	ctx, cancel := interruptible()
+	defer cancel()
+	nodes, silent, err := askAll[administrator.Status](ctx, s.Node, "/status")
+	if err != nil {
+		return err
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "%-28s %-9s %-24s %-22s %8s %5s/%-5s %6s %9s %7s\n",
+		"NODE", "STATE", "ZONE", "SERVICE", "SETTINGS", "BUSY", "LIMIT", "QUEUED", "THRESHOLD", "MEMBERS")
+	for _, node := range nodes {
+		fmt.Fprintf(&text, "%-28s %-9s %-24s %-22s %8d %5d/%-5d %6d %9d %7d\n",
+			node.ID, node.State, node.Region+"/"+node.Zone, node.Service, node.SettingsVersion,
+			node.InFlight, node.Limit, node.Queued, node.Threshold, node.Members)
+	}
+	for _, member := range silent {
+		fmt.Fprintf(&text, "%-28s %-9s %-24s %-22s %8s\n", member.ID, member.State, member.Region+"/"+member.Zone, member.Service, "no answer")
+	}
+	return s.env.print(statusReport{
+		Nodes:       nodes,
+		Unreachable: silent,
+	}, text.String())
+}
--- /dev/null
+++ b/internal/cli/commander/cmd_version.go
@@ -0,0 +1,38 @@
+package commander
+
+import (
+	"runtime"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+var versionCommand = command{
+	name:  "version",
+	short: "Print the program's version",
+	long:  "Prints the version of the program and of the language it was built with.",
+	options: func(env *environment) flags.Commander {
+		return &versionRun{
+			env: env,
+		}
+	},
+}
+
+type versionRun struct {
+	env *environment
+}
+
+type versionReport struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+// Execute implements flags.Commander.
+func (v *versionRun) Execute([]string) error {
+	return v.env.print(versionReport{
+		Version: Version,
+		Go:      runtime.Version(),
+	}, "laburnumshelf "+Version+" "+runtime.Version()+"\n")
+}
--- /dev/null
+++ b/internal/connection/acceptor/acceptor.go
@@ -0,0 +1,242 @@
+// Package acceptor serves the sessions that other nodes open: one stream for
+// each call, and streams that ask for settings.
+//
+// # Usage
+//
+//	a := acceptor.New(acceptor.Config{Calls: executor, Settings: follower.State})
+//	err := a.Serve(listener)
+//	a.Close()
+package acceptor
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/sessionizer"
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/translator"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// badStreams counts streams that did not start with a valid head.
+var badStreams = expvar.NewInt("badStreams")
+
+// headTimeout bounds the wait for the head of a stream.
+const headTimeout = 10 * time.Second
+
+// Calls runs inbound calls.
+type Calls interface {
+	Execute(ctx context.Context, call *caller.Call) *caller.Answer
+}
+
+// Config is what an Acceptor needs.
+type Config struct {
+	Calls    Calls
+	Settings func() follower.State
+}
+
+// Acceptor serves sessions. Its methods are safe for concurrent use.
+type Acceptor struct {
+	config Config
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]bool
+}
+
+// New returns an Acceptor.
+func New(config Config) *Acceptor {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Acceptor{
+		config:   config,
+		ctx:      ctx,
+		cancel:   cancel,
+		sessions: make(map[*yamux.Session]bool),
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (a *Acceptor) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if a.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return errors.Wrap(err, "accept connection from a node")
+		}
+		go a.serveConn(conn)
+	}
+}
+
+// Close ends all sessions and the calls on them.
+func (a *Acceptor) Close() {
+	a.cancel()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for session := range a.sessions {
+		session.Close()
+	}
+}
+
+func (a *Acceptor) serveConn(conn net.Conn) {
+	session, err := yamux.Server(conn, sessionizer.Config())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	a.mu.Lock()
+	a.sessions[session] = true
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.sessions, session)
+		a.mu.Unlock()
+		session.Close()
+	}()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		go a.serveStream(stream)
+	}
+}
+
+func (a *Acceptor) serveStream(stream *yamux.Stream) {
+	defer stream.Close()
+	reader := encoder.NewStreamReader(stream)
+	head := &encoder.StreamHead{}
+	stream.SetReadDeadline(time.Now().Add(headTimeout))
+	if err := encoder.ReadFrame(reader, head); err != nil {
+		if !errors.Is(err, io.EOF) {
+			badStreams.Add(1)
+		}
+		return
+	}
+	stream.SetReadDeadline(time.Time{})
+	switch kind := head.GetKind().(type) {
+	case *encoder.StreamHead_Call:
+		a.serveCall(stream, reader, kind.Call)
+	case *encoder.StreamHead_Settings:
+		a.serveSettings(stream, kind.Settings)
+	default:
+		badStreams.Add(1)
+	}
+}
+
+func (a *Acceptor) serveSettings(stream *yamux.Stream, request *encoder.SettingsRequest) {
+	state := a.config.Settings()
+	stream.SetWriteDeadline(time.Now().Add(headTimeout))
+	if err := encoder.WriteFrame(stream, state.Snapshot(request.GetVersion())); err != nil {
+		stream.Close()
+	}
+}
+
+func (a *Acceptor) serveCall(stream *yamux.Stream, reader *bufio.Reader, head *encoder.CallHead) {
+	ctx, cancel := context.WithCancel(a.ctx)
+	defer cancel()
+	call := translator.Call(head, time.Now())
+	// The caller closes the stream to cancel the call, so a read after the
+	// request body returns only then.
+	body := &endWatcher{
+		Reader: encoder.NewBodyReader(reader),
+		onEnd: func() {
+			go func() {
+				reader.ReadByte()
+				cancel()
+			}()
+		},
+	}
+	var err error
+	if call.Body, err = caller.NewBody(body); err != nil {
+		a.respond(stream, caller.Refuse(caller.NotRun, caller.ReasonBodyBroken))
+		return
+	}
+	answer := a.config.Calls.Execute(ctx, call)
+	defer answer.Close()
+	a.respond(stream, answer)
+}
+
+// endWatcher calls onEnd when its reader ends, whole or not.
+type endWatcher struct {
+	io.Reader
+	once  sync.Once
+	onEnd func()
+}
+
+// Read implements io.Reader.
+func (e *endWatcher) Read(p []byte) (int, error) {
+	n, err := e.Reader.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	e.once.Do(e.onEnd)
+	if !errors.Is(err, io.EOF) {
+		err = errors.Mark(err, caller.ErrBadBody)
+	}
+	return n, err
+}
+
+// smallBodyBytes is the largest announced body that is sent with one write.
+const smallBodyBytes = 12 << 10
+
+func (a *Acceptor) respond(stream *yamux.Stream, answer *caller.Answer) {
+	buffer := bufio.NewWriterSize(stream, 2*smallBodyBytes)
+	if err := encoder.WriteFrame(buffer, translator.AnswerHead(answer)); err != nil {
+		return
+	}
+	trailer := &encoder.Trailer{
+		Checksum: emptyChecksum,
+	}
+	if answer.Body != nil {
+		var err error
+		if trailer, err = encoder.CopyBody(writerFor(buffer, answer.Header), answer.Body); err != nil {
+			trailer.Broken = true
+		}
+	}
+	trailer.Unspent = answer.UnspentAllowance()
+	if encoder.WriteTrailer(buffer, trailer) == nil {
+		buffer.Flush()
+	}
+}
+
+// emptyChecksum is the checksum of a body without bytes.
+var emptyChecksum = encoder.EmptyChecksum()
+
+// writerFor returns the buffer itself for small bodies and flushes each chunk
+// of others, so that a slow body is passed on as it comes.
+func writerFor(buffer *bufio.Writer, header http.Header) io.Writer {
+	length, err := strconv.Atoi(header.Get("Content-Length"))
+	if err == nil && length <= smallBodyBytes {
+		return buffer
+	}
+	return flushingWriter{
+		buffer: buffer,
+	}
+}
+
+type flushingWriter struct {
+	buffer *bufio.Writer
+}
+
+// Write implements io.Writer.
+func (f flushingWriter) Write(p []byte) (int, error) {
+	n, err := f.buffer.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, f.buffer.Flush()
+}
--- /dev/null
+++ b/internal/connection/dialer/dialer.go
@@ -0,0 +1,277 @@
+// Package dialer carries calls to other nodes over multiplexed sessions, one
+// stream for each call.
+//
+// A session on which calls wait in silence is probed; when the probe stays
+// unanswered the session is closed and a new one is opened, because something
+// between the two ends may have lost track of the connection.
+//
+// # Usage
+//
+//	d := dialer.New(dialer.Config{Dial: dialer.TCP(time.Second)})
+//	answer, err := d.Call(ctx, member, call)
+//	defer d.Close()
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/translator"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// DialFunc opens a connection to a node.
+type DialFunc func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
+// TCP returns a DialFunc over TCP with the given timeout.
+func TCP(timeout time.Duration) DialFunc {
+	dialer := &net.Dialer{
+		Timeout: timeout,
+	}
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address.String())
+	}
+}
+
+// Config is what a Dialer needs.
+type Config struct {
+	Dial DialFunc
+	// Silence is the time without a byte after which a session with open calls
+	// is probed, and the time the probe may take; 0 means DefaultSilence.
+	Silence time.Duration
+}
+
+// DefaultSilence is how long a session with open calls may be silent.
+const DefaultSilence = 700 * time.Millisecond
+
+// Dialer is a caller.Transport over sessions. Its methods are safe for
+// concurrent use.
+type Dialer struct {
+	config Config
+
+	mu     sync.Mutex
+	peers  map[netip.AddrPort]*peer
+	closed bool
+}
+
+var _ caller.Transport = (*Dialer)(nil)
+
+// New returns a Dialer without sessions.
+func New(config Config) *Dialer {
+	if config.Silence == 0 {
+		config.Silence = DefaultSilence
+	}
+	return &Dialer{
+		config: config,
+		peers:  make(map[netip.AddrPort]*peer),
+	}
+}
+
+// Close closes all sessions.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for _, p := range d.peers {
+		p.close()
+	}
+}
+
+// Sessions returns the number of open sessions.
+func (d *Dialer) Sessions() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	open := 0
+	for _, p := range d.peers {
+		if p.current() != nil {
+			open++
+		}
+	}
+	return open
+}
+
+func (d *Dialer) peer(address netip.AddrPort) (*peer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, errors.New("node is stopping")
+	}
+	p := d.peers[address]
+	if p == nil {
+		p = &peer{
+			address: address,
+			config:  d.config,
+		}
+		d.peers[address] = p
+	}
+	return p, nil
+}
+
+// Open returns a new stream to the node at address.
+func (d *Dialer) Open(ctx context.Context, address netip.AddrPort) (*yamux.Stream, error) {
+	p, err := d.peer(address)
+	if err != nil {
+		return nil, err
+	}
+	return p.open(ctx, false)
+}
+
+// Call implements caller.Transport.
+func (d *Dialer) Call(ctx context.Context, member *encoder.Member, call *caller.Call) (*caller.Answer, error) {
+	address, err := netip.ParseAddrPort(member.GetPeerAddress())
+	if err != nil {
+		return nil, caller.NotSent(errors.Wrapf(err, "address of member %s", member.GetId()))
+	}
+	p, err := d.peer(address)
+	if err != nil {
+		return nil, caller.NotSent(err)
+	}
+	// A question about an earlier attempt goes over a new session, since the
+	// old one may be what lost the answer.
+	stream, err := p.open(ctx, call.ResolveOnly)
+	if err != nil {
+		return nil, caller.NotSent(err)
+	}
+	return exchange(ctx, stream, call)
+}
+
+// exchange sends the call on a fresh stream and reads the head of its answer.
+func exchange(ctx context.Context, stream *yamux.Stream, call *caller.Call) (*caller.Answer, error) {
+	// Closing the stream unblocks reads and writes and cancels the call at the
+	// target's node.
+	stop := context.AfterFunc(ctx, func() {
+		stream.Close()
+		stream.SetDeadline(time.Unix(1, 0))
+	})
+	answer, err := send(stream, call)
+	if err != nil {
+		stop()
+		stream.Close()
+		if ctx.Err() != nil {
+			err = errors.CombineErrors(ctx.Err(), err)
+		}
+		return nil, err
+	}
+	if answer.Body == nil {
+		stop()
+		stream.Close()
+		return answer, nil
+	}
+	answer.Body = &streamBody{
+		Reader: answer.Body,
+		close: func() error {
+			stop()
+			return stream.Close()
+		},
+	}
+	return answer, nil
+}
+
+func send(stream *yamux.Stream, call *caller.Call) (*caller.Answer, error) {
+	head := &encoder.StreamHead{
+		Kind: &encoder.StreamHead_Call{
+			Call: translator.CallHead(call, time.Now()),
+		},
+	}
+	// The answer may come before a large body is sent, for example a refusal.
+	sent := make(chan error, 1)
+	if call.Body.Size() >= 0 {
+		if err := sendWhole(stream, head, call.Body); err != nil {
+			return nil, errors.Wrap(err, "send call")
+		}
+	} else {
+		if err := encoder.WriteFrame(stream, head); err != nil {
+			return nil, errors.Wrap(err, "send call")
+		}
+		go func() {
+			sent <- sendBody(stream, call.Body)
+		}()
+	}
+	reader := encoder.NewStreamReader(stream)
+	answerHead := &encoder.AnswerHead{}
+	err := encoder.ReadFrame(reader, answerHead)
+	if err != nil {
+		return nil, readError(err, sent)
+	}
+	answer := translator.Answer(answerHead)
+	body := encoder.NewBodyReader(reader)
+	if answer.Outcome != caller.Answered {
+		return answer, drainRefusal(answer, body)
+	}
+	answer.Body = io.NopCloser(body)
+	answer.Unspent = func() uint32 {
+		return body.Trailer().GetUnspent()
+	}
+	return answer, nil
+}
+
+// sendWhole sends a call whose body is in memory with one write.
+func sendWhole(stream *yamux.Stream, head *encoder.StreamHead, body *caller.Body) error {
+	var buffer bytes.Buffer
+	if err := encoder.WriteFrame(&buffer, head); err != nil {
+		return err
+	}
+	trailer, err := encoder.CopyBody(&buffer, body.Reader())
+	if err != nil {
+		return err
+	}
+	if err := encoder.WriteTrailer(&buffer, trailer); err != nil {
+		return err
+	}
+	_, err = stream.Write(buffer.Bytes())
+	return err
+}
+
+// readError prefers the cause on the caller's side to the silence it led to.
+func readError(err error, sent <-chan error) error {
+	select {
+	case sendErr := <-sent:
+		if errors.Is(sendErr, caller.ErrBadBody) {
+			return sendErr
+		}
+	default:
+	}
+	return errors.Wrap(err, "receive answer")
+}
+
+// drainRefusal reads the empty body of a refusal for its trailer.
+func drainRefusal(answer *caller.Answer, body *encoder.BodyReader) error {
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return err
+	}
+	answer.Unspent = func() uint32 {
+		return body.Trailer().GetUnspent()
+	}
+	return nil
+}
+
+func sendBody(stream *yamux.Stream, body *caller.Body) error {
+	trailer, err := encoder.CopyBody(stream, body.Reader())
+	if err != nil {
+		trailer.Broken = true
+		if errors.Is(err, encoder.ErrBodyBroken) {
+			err = errors.Mark(err, caller.ErrBadBody)
+		}
+	}
+	return errors.CombineErrors(err, encoder.WriteTrailer(stream, trailer))
+}
+
+// streamBody is an answer body whose Close ends its stream.
+type streamBody struct {
+	io.Reader
+	close func() error
+}
+
+// Close implements io.Closer.
+func (s *streamBody) Close() error {
+	return s.close()
+}
--- /dev/null
+++ b/internal/connection/translator/translator.go
@@ -0,0 +1,131 @@
+// Package translator converts calls and answers to and from their wire
+// messages.
+//
+// # Usage
+//
+//	head := translator.CallHead(call, time.Now())
+//	call := translator.Call(head, time.Now())
+package translator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// CallHead returns the wire form of a call. The deadline travels as remaining
+// time, so that the clocks of two nodes need not agree.
+func CallHead(call *caller.Call, now time.Time) *encoder.CallHead {
+	return &encoder.CallHead{
+		RequestId:    call.RequestID,
+		CallId:       call.CallID,
+		Team:         call.Service.Team,
+		Service:      call.Service.Name,
+		Route:        call.Route,
+		Method:       call.Method,
+		Path:         call.Path,
+		Headers:      headers(call.Header),
+		Priority:     uint32(call.Priority),
+		TimeoutNanos: int64(call.Deadline.Sub(now)),
+		Allowance:    call.Allowance,
+		Hop:          call.Hop,
+		Charged:      call.Charged,
+		Token:        call.Token,
+		ResolveOnly:  call.ResolveOnly,
+		Zone:         call.Zone,
+		Attempt:      call.Attempt,
+	}
+}
+
+// Call returns the call that a wire message describes, without its body.
+func Call(head *encoder.CallHead, now time.Time) *caller.Call {
+	return &caller.Call{
+		RequestID: head.GetRequestId(),
+		CallID:    head.GetCallId(),
+		Service: describer.ServiceName{
+			Team: head.GetTeam(),
+			Name: head.GetService(),
+		},
+		Route:       head.GetRoute(),
+		Method:      head.GetMethod(),
+		Path:        head.GetPath(),
+		Header:      header(head.GetHeaders()),
+		Priority:    caller.Priority(min(head.GetPriority(), caller.PriorityLevels-1)),
+		Idempotent:  head.GetToken() == nil,
+		Deadline:    now.Add(time.Duration(head.GetTimeoutNanos())),
+		Allowance:   head.GetAllowance(),
+		Hop:         head.GetHop(),
+		Charged:     head.GetCharged(),
+		Attempt:     head.GetAttempt(),
+		Token:       head.GetToken(),
+		ResolveOnly: head.GetResolveOnly(),
+		Zone:        head.GetZone(),
+	}
+}
+
+// AnswerHead returns the wire form of an answer, without its body.
+func AnswerHead(answer *caller.Answer) *encoder.AnswerHead {
+	return &encoder.AnswerHead{
+		Outcome: uint32(answer.Outcome),
+		Reason:  uint32(answer.Reason),
+		Status:  uint32(answer.Status),
+		Headers: headers(answer.Header),
+		Load: &encoder.Load{
+			InFlight:  uint32(answer.Load.InFlight),
+			Limit:     uint32(answer.Load.Limit),
+			Queued:    uint32(answer.Load.Queued),
+			Threshold: uint32(answer.Load.Threshold),
+			Leaving:   answer.Load.Leaving,
+		},
+		PathThreshold:   uint32(answer.PathThreshold),
+		Successor:       answer.Successor,
+		RetryAfterNanos: int64(answer.RetryAfter),
+		Detail:          answer.Detail,
+	}
+}
+
+// Answer returns the answer that a wire message describes, without its body.
+func Answer(head *encoder.AnswerHead) *caller.Answer {
+	load := head.GetLoad()
+	return &caller.Answer{
+		Outcome: caller.Outcome(head.GetOutcome()),
+		Reason:  caller.Reason(min(head.GetReason(), caller.MaxReason)),
+		Status:  int(head.GetStatus()),
+		Header:  header(head.GetHeaders()),
+		Load: caller.Load{
+			InFlight:  int(load.GetInFlight()),
+			Limit:     int(load.GetLimit()),
+			Queued:    int(load.GetQueued()),
+			Threshold: caller.Priority(load.GetThreshold()),
+			Leaving:   load.GetLeaving(),
+		},
+		PathThreshold: caller.Priority(head.GetPathThreshold()),
+		Successor:     head.GetSuccessor(),
+		RetryAfter:    time.Duration(head.GetRetryAfterNanos()),
+		Detail:        head.GetDetail(),
+	}
+}
+
+func headers(h http.Header) []*encoder.Header {
+	list := make([]*encoder.Header, 0, len(h))
+	for name, values := range h {
+		for _, value := range values {
+			list = append(list, &encoder.Header{
+				Name:  name,
+				Value: value,
+			})
+		}
+	}
+	return list
+}
+
+func header(list []*encoder.Header) http.Header {
+	h := make(http.Header, len(list))
+	for _, item := range list {
+		h[item.GetName()] = append(h[item.GetName()], item.GetValue())
+	}
+	return h
+}
--- /dev/null
+++ b/internal/process/runner/runner.go
@@ -0,0 +1,355 @@
+// Package runner assembles a node from its parts, runs them together and stops
+// them in order.
+//
+// # Usage
+//
+//	node, err := runner.New(config, logger)
+//	err = node.Run(ctx)
+//	node.Drain()
+package runner
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/acceptor"
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/dialer"
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/forwarder"
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/gateway"
+	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/administrator"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/announcer"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/synchronizer"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/dispatcher"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/executor"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// Process parameters.
+const (
+	dialTimeout = time.Second
+	logTimeout  = 10 * time.Second
+	// leaveTime is the time for which a leaving node stays reachable, so that
+	// its announcement arrives everywhere.
+	leaveTime = 3 * time.Second
+)
+
+// Node is one process beside a backend server.
+type Node struct {
+	config configurer.Config
+	log    *logrus.Logger
+	self   *encoder.Member
+
+	dispatcher *dispatcher.Dispatcher
+	executor   *executor.Executor
+	recorder   *recorder.Recorder
+	dialer     *dialer.Dialer
+	acceptor   *acceptor.Acceptor
+	forwarder  *forwarder.Forwarder
+	follower   *follower.Follower
+	announcer  *announcer.Announcer
+	sync       *synchronizer.Synchronizer
+
+	listeners   listeners
+	callHandler http.Handler
+	// openCalls counts the callers' requests that are not answered in full.
+	openCalls atomic.Int64
+	drainOnce sync.Once
+	draining  chan struct{}
+}
+
+type listeners struct {
+	calls net.Listener
+	admin net.Listener
+	peers net.Listener
+	udp   net.PacketConn
+}
+
+// listen opens all sockets, or none.
+func listen(config configurer.Config) (listeners, error) {
+	l := listeners{}
+	var err error
+	if l.calls, err = net.Listen("tcp", config.CallAddress.String()); err != nil {
+		return l, errors.Wrap(err, "callAddress")
+	}
+	if l.admin, err = net.Listen("tcp", config.AdminAddress.String()); err != nil {
+		l.close()
+		return l, errors.Wrap(err, "adminAddress")
+	}
+	if l.peers, err = net.Listen("tcp", config.PeerAddress.String()); err != nil {
+		l.close()
+		return l, errors.Wrap(err, "peerAddress")
+	}
+	if l.udp, err = net.ListenPacket("udp", config.PeerAddress.String()); err != nil {
+		l.close()
+		return l, errors.Wrap(err, "peerAddress")
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.calls, l.admin, l.peers} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+	if l.udp != nil {
+		l.udp.Close()
+	}
+}
+
+// New returns a node whose sockets are open.
+func New(config configurer.Config, log *logrus.Logger) (*Node, error) {
+	opened, err := listen(config)
+	if err != nil {
+		return nil, errors.Wrap(err, "open sockets; is another process using the address?")
+	}
+	n := &Node{
+		config:    config,
+		log:       log,
+		listeners: opened,
+		draining:  make(chan struct{}),
+		self: &encoder.Member{
+			Id:          config.ID,
+			Incarnation: uint64(time.Now().UnixNano()),
+			Region:      config.Region,
+			Zone:        config.Zone,
+			PeerAddress: config.PeerAddress.String(),
+			HttpAddress: config.AdminAddress.String(),
+			Team:        config.Service.Team,
+			Service:     config.Service.Name,
+			Slots:       uint32(config.Slots),
+		},
+	}
+	n.assemble()
+	return n, nil
+}
+
+// assemble builds the parts from the request to the process.
+func (n *Node) assemble() {
+	config := n.config
+	var platform logclient.Log
+	if config.LogURL != "" {
+		platform = logclient.NewHTTP(config.LogURL, &http.Client{
+			Timeout: logTimeout,
+		})
+	}
+	seed := rand.NewPCG(n.self.GetIncarnation(), uint64(len(config.ID)))
+	inbound := tracker.NewTable()
+	n.follower = follower.New(platform)
+	n.recorder = recorder.New(n.log, config.ID, config.DecisionsKept)
+	n.dialer = dialer.New(dialer.Config{
+		Dial: dialer.TCP(dialTimeout),
+	})
+	n.forwarder = forwarder.New(config.BackendAddress, config.Connections, forwarder.Dial(dialTimeout))
+	n.dispatcher = dispatcher.New(dispatcher.Config{
+		NodeID:    config.ID,
+		Zone:      config.Zone,
+		Region:    config.Region,
+		Transport: n.dialer,
+		Recorder:  n.recorder,
+		Inbound:   inbound,
+		Settings:  n.settings,
+		Rand:      rand.New(seed),
+	})
+	n.executor = executor.New(executor.Config{
+		ID:          config.ID,
+		Incarnation: n.self.GetIncarnation(),
+		Service:     config.Service,
+		Slots:       config.Slots,
+		Backend:     n.forwarder,
+		Recorder:    n.recorder,
+		Inbound:     inbound,
+		Settings:    n.settings,
+		Successor: func() *encoder.Token {
+			return n.dispatcher.MintFor(config.Service, config.ID)
+		},
+	})
+	n.acceptor = acceptor.New(acceptor.Config{
+		Calls:    n.executor,
+		Settings: n.follower.State,
+	})
+	n.announcer = announcer.New(announcer.Config{
+		Self:     n.self,
+		Conn:     n.listeners.udp,
+		Log:      platform,
+		Contacts: config.Contacts,
+		OnChange: n.place,
+		OnVersion: func(version int64, member *encoder.Member) {
+			n.sync.Offer(version, member)
+		},
+		Rand: rand.New(rand.NewPCG(n.self.GetIncarnation(), 1)),
+	})
+	n.sync = synchronizer.New(synchronizer.Config{
+		Self:      n.self,
+		Follower:  n.follower,
+		Fetch:     n.fetch,
+		Members:   n.announcer.Members,
+		OnVersion: n.versionRose,
+		Log:       n.log,
+	})
+	n.handleCalls(inbound)
+}
+
+func (n *Node) handleCalls(inbound *tracker.Table) {
+	expvarOnce.Do(func() {
+		expvar.Publish("decisions", n.recorder.Var())
+	})
+	calls := gateway.New(gateway.Config{
+		Calls:    n,
+		Inbound:  inbound,
+		Settings: n.settings,
+	})
+	n.callHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.openCalls.Add(1)
+		defer n.openCalls.Add(-1)
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// expvarOnce guards the process-wide name when tests run several nodes.
+var expvarOnce sync.Once
+
+func (n *Node) settings() *describer.Settings {
+	return n.follower.State().Settings()
+}
+
+// place takes a member's change into routing and logs it.
+func (n *Node) place(member *encoder.Member) {
+	n.dispatcher.Update(member)
+	n.log.WithFields(logrus.Fields{
+		"action":      recorder.Place.String(),
+		"incarnation": member.GetIncarnation(),
+		"member":      member.GetId(),
+		"revision":    member.GetRevision(),
+		"service":     router.ServiceOf(member).String(),
+		"state":       member.GetState().String(),
+		"zone":        member.GetZone(),
+	}).Info("decision")
+}
+
+func (n *Node) versionRose(version int64) {
+	n.announcer.SetVersion(version)
+	n.executor.Reconfigure()
+}
+
+// fetch asks a member for the settings that changed since version.
+func (n *Node) fetch(ctx context.Context, member *encoder.Member, version int64) (*encoder.Snapshot, error) {
+	address, err := netip.ParseAddrPort(member.GetPeerAddress())
+	if err != nil {
+		return nil, errors.Wrapf(err, "address of member %s", member.GetId())
+	}
+	stream, err := n.dialer.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		stream.SetDeadline(deadline)
+	}
+	head := &encoder.StreamHead{
+		Kind: &encoder.StreamHead_Settings{
+			Settings: &encoder.SettingsRequest{
+				Version: version,
+			},
+		},
+	}
+	if err := encoder.WriteFrame(stream, head); err != nil {
+		return nil, errors.Wrap(err, "ask for settings")
+	}
+	snapshot := &encoder.Snapshot{}
+	return snapshot, errors.Wrap(encoder.ReadFrame(stream, snapshot), "receive settings")
+}
+
+// Dispatch makes a caller's call. A leaving node takes no requests from outside,
+// but the calls of the requests that still run at its backend server.
+func (n *Node) Dispatch(ctx context.Context, call *caller.Call) *caller.Answer {
+	select {
+	case <-n.draining:
+		if call.Hop == 0 && call.ParentID == "" {
+			return caller.Refuse(caller.NotRun, caller.ReasonLeaving)
+		}
+	default:
+	}
+	return n.dispatcher.Dispatch(ctx, call)
+}
+
+// Run serves until the context ends or the node has drained. When the context
+// ends first, open calls are cut.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group run.Group
+	n.addServer(&group, n.listeners.calls, n.callHandler)
+	n.addServer(&group, n.listeners.admin, administrator.New(n))
+	group.Add(func() error {
+		return n.acceptor.Serve(n.listeners.peers)
+	}, func(error) {
+		n.acceptor.Close()
+		n.listeners.peers.Close()
+	})
+	group.Add(func() error {
+		return n.announcer.Run(ctx)
+	}, func(error) {
+		cancel()
+		n.listeners.udp.Close()
+	})
+	group.Add(func() error {
+		return n.sync.Run(ctx)
+	}, func(error) {
+		cancel()
+	})
+	group.Add(func() error {
+		return n.awaitDrain(ctx)
+	}, func(error) {
+		cancel()
+	})
+	n.log.WithFields(logrus.Fields{
+		"calls": n.config.CallAddress,
+		"admin": n.config.AdminAddress,
+		"peers": n.config.PeerAddress,
+		"node":  n.config.ID,
+	}).Info("node started")
+	err := group.Run()
+	n.dialer.Close()
+	n.forwarder.Close()
+	return err
+}
+
+// shutdownTime bounds the wait for idle HTTP connections at the end.
+const shutdownTime = 2 * time.Second
+
+func (n *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler: handler,
+	}
+	group.Add(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+		defer cancel()
+		server.Shutdown(ctx)
+	})
+}
--- /dev/null
+++ b/internal/replay/assembler/direct.go
@@ -0,0 +1,199 @@
+package assembler
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/driver"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/responder"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/tracer"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+)
+
+// directAttempts is the number of attempts of each call without the layer, the
+// common default of client libraries.
+const directAttempts = 3
+
+// detectTime is the time after which callers without the layer avoid a dead
+// target.
+const detectTime = 5 * time.Second
+
+// Direct is the same fleet with the layer switched off: callers choose a random
+// target for each attempt and try again when it fails.
+type Direct struct {
+	trace  *tracer.Trace
+	ledger *responder.Ledger
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	targets map[describer.ServiceName][]*directTarget
+	first   int64
+	retries int64
+}
+
+var _ driver.Fleet = (*Direct)(nil)
+
+type directTarget struct {
+	server *responder.Server
+	region int
+	downAt time.Time
+}
+
+// NewDirect returns a fleet without the layer.
+func NewDirect(trace *tracer.Trace) *Direct {
+	d := &Direct{
+		trace:   trace,
+		ledger:  responder.NewLedger(),
+		rng:     rand.New(rand.NewPCG(trace.Seed, 7)),
+		targets: make(map[describer.ServiceName][]*directTarget),
+	}
+	for _, service := range trace.Services {
+		for i := range service.Targets {
+			d.targets[service.Name] = append(d.targets[service.Name], &directTarget{
+				server: responder.New(service, d.ledger, d.rng.Uint64()),
+				region: i % len(trace.Regions),
+			})
+		}
+	}
+	return d
+}
+
+// Ledger implements driver.Fleet.
+func (d *Direct) Ledger() *responder.Ledger {
+	return d.ledger
+}
+
+// Attempts implements driver.Fleet.
+func (d *Direct) Attempts() (first, retries int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.first, d.retries
+}
+
+// Do implements driver.Fleet.
+func (d *Direct) Do(ctx context.Context, request driver.Request) driver.Result {
+	if !sleep(ctx, d.trace.Latency.Client) {
+		return driver.Result{}
+	}
+	response := d.call(ctx, request.Region, request.ID, tracer.Call{
+		Service: request.Service,
+		Method:  request.Method,
+		Path:    request.Path,
+	})
+	if !sleep(ctx, d.trace.Latency.Client) {
+		return driver.Result{}
+	}
+	return driver.Result{
+		Status: response.Status,
+		Body:   response.Body,
+	}
+}
+
+// call makes one call with its attempts.
+func (d *Direct) call(ctx context.Context, region int, requestID string, call tracer.Call) responder.Response {
+	response := responder.Response{}
+	for attempt := range directAttempts {
+		d.mu.Lock()
+		if attempt == 0 {
+			d.first++
+		} else {
+			d.retries++
+		}
+		d.mu.Unlock()
+		response = d.attempt(ctx, region, requestID, call)
+		if response.Status == 200 || ctx.Err() != nil {
+			return response
+		}
+	}
+	return response
+}
+
+func (d *Direct) attempt(ctx context.Context, region int, requestID string, call tracer.Call) responder.Response {
+	target := d.choose(call.Service)
+	if target == nil {
+		return responder.Response{
+			Status: 503,
+		}
+	}
+	latency := d.trace.Latency.Zone
+	if target.region != region {
+		latency = d.trace.Latency.Region
+	}
+	d.mu.Lock()
+	down := !target.downAt.IsZero()
+	d.mu.Unlock()
+	if !sleep(ctx, latency) || down {
+		return responder.Response{
+			Status: 502,
+		}
+	}
+	response := target.server.Serve(ctx, responder.Request{
+		RequestID: requestID,
+		Method:    call.Method,
+		Path:      call.Path,
+	}, func(ctx context.Context, downstream tracer.Call) int {
+		return d.call(ctx, target.region, requestID, downstream).Status
+	})
+	if !sleep(ctx, latency) {
+		return responder.Response{
+			Status: 504,
+		}
+	}
+	return response
+}
+
+// choose returns a random target that is not known to be dead.
+func (d *Direct) choose(service describer.ServiceName) *directTarget {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var usable []*directTarget
+	for _, target := range d.targets[service] {
+		if target.downAt.IsZero() || time.Since(target.downAt) < detectTime {
+			usable = append(usable, target)
+		}
+	}
+	if len(usable) == 0 {
+		return nil
+	}
+	return usable[d.rng.IntN(len(usable))]
+}
+
+// Inject implements driver.Fleet.
+func (d *Direct) Inject(fault tracer.Fault) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	concerned := d.targets[fault.Service]
+	if fault.Targets > 0 {
+		concerned = concerned[:min(fault.Targets, len(concerned))]
+	}
+	switch fault.Kind {
+	case tracer.FaultSlow:
+		for _, target := range concerned {
+			target.server.SetFactor(fault.Factor)
+		}
+		return func() {
+			for _, target := range concerned {
+				target.server.SetFactor(1)
+			}
+		}
+	case tracer.FaultKill, tracer.FaultFreeze:
+		for _, target := range concerned {
+			target.downAt = time.Now()
+		}
+		return func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			for _, target := range concerned {
+				target.downAt = time.Time{}
+				target.server.Restart(time.Now())
+			}
+		}
+	case tracer.FaultCold:
+		for _, target := range concerned {
+			target.server.Restart(time.Now())
+		}
+	}
+	return func() {}
+}
--- /dev/null
+++ b/internal/replay/assembler/fault.go
@@ -0,0 +1,120 @@
+package assembler
+
+import (
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/tracer"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+)
+
+// Inject implements driver.Fleet.
+func (f *Fleet) Inject(fault tracer.Fault) func() {
+	concerned := f.concerned(fault.Service, fault.Targets)
+	switch fault.Kind {
+	case tracer.FaultSlow:
+		for _, n := range concerned {
+			n.server.SetFactor(fault.Factor)
+		}
+		return func() {
+			for _, n := range concerned {
+				n.server.SetFactor(1)
+			}
+		}
+	case tracer.FaultKill:
+		for _, n := range concerned {
+			f.stop(n)
+		}
+		return func() {
+			for _, n := range concerned {
+				f.restart(n)
+			}
+		}
+	case tracer.FaultCold:
+		for _, n := range concerned {
+			f.stop(n)
+			f.restart(n)
+		}
+	case tracer.FaultDrain:
+		for _, n := range concerned {
+			f.drain(n)
+		}
+	case tracer.FaultFreeze:
+		f.freeze(concerned)
+		return func() {
+			f.thaw(concerned)
+		}
+	case tracer.FaultLogDown:
+		// A fleet in one process does not use the log.
+	}
+	return func() {}
+}
+
+// concerned returns the first serving targets of a service; 0 means all.
+func (f *Fleet) concerned(service describer.ServiceName, targets int) []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*node
+	for _, n := range f.nodes {
+		if n.service.Name == service && n.alive.Err() == nil && (targets == 0 || len(list) < targets) {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// stop kills a node and its backend server at once.
+func (f *Fleet) stop(n *node) {
+	n.kill()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retired = append(f.retired, n.recorder)
+	for i := range f.nodes {
+		if f.nodes[i] == n {
+			f.nodes = append(f.nodes[:i], f.nodes[i+1:]...)
+			return
+		}
+	}
+}
+
+// restart starts a cold instance with a new node in the place of a stopped one.
+func (f *Fleet) restart(n *node) {
+	replacement := f.start(n.service, n.place, nil)
+	replacement.server.Restart(time.Now())
+}
+
+// drain stops a node gracefully.
+func (f *Fleet) drain(n *node) {
+	n.executor.Leave()
+	f.mu.Lock()
+	n.leaving = true
+	f.mu.Unlock()
+	f.tables.Lock()
+	n.table.Leave(time.Now())
+	f.tables.Unlock()
+	go func() {
+		const linger = 3 * time.Second
+		<-n.executor.Idle()
+		if sleep(f.ctx, linger) {
+			f.stop(n)
+		}
+	}()
+}
+
+func (f *Fleet) freeze(nodes []*node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range nodes {
+		n.thawed = make(chan struct{})
+	}
+}
+
+func (f *Fleet) thaw(nodes []*node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range nodes {
+		if n.thawed != nil {
+			close(n.thawed)
+			n.thawed = nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/replay/assembler/transport.go
@@ -0,0 +1,182 @@
+package assembler
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/dialer"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/responder"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/tracer"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/initiator"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// transport carries calls from one node to others.
+type transport struct {
+	from *node
+}
+
+var _ caller.Transport = transport{}
+
+// Call implements caller.Transport.
+func (t transport) Call(ctx context.Context, member *encoder.Member, call *caller.Call) (*caller.Answer, error) {
+	f := t.from.fleet
+	f.mu.Lock()
+	to := f.byID[member.GetId()]
+	var thawed chan struct{}
+	if to != nil {
+		thawed = to.thawed
+	}
+	f.mu.Unlock()
+	latency := f.latency(t.from, to)
+	if !sleep(ctx, latency) {
+		return nil, ctx.Err()
+	}
+	if to == nil || to.alive.Err() != nil {
+		return nil, caller.NotSent(errors.New("connection refused"))
+	}
+	if thawed != nil {
+		// A session on which calls wait in silence is probed and closed.
+		if err := silence(ctx, thawed); err != nil {
+			return nil, err
+		}
+	}
+	answer, err := to.execute(ctx, *call)
+	if err != nil {
+		return nil, err
+	}
+	if !sleep(ctx, latency) {
+		answer.Close()
+		return nil, ctx.Err()
+	}
+	return answer, nil
+}
+
+func silence(ctx context.Context, thawed chan struct{}) error {
+	timer := time.NewTimer(2 * dialer.DefaultSilence)
+	defer timer.Stop()
+	select {
+	case <-thawed:
+		return nil
+	case <-timer.C:
+		return errors.New("session closed after an unanswered probe")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// execute runs a call at the node; the connection breaks when the node dies.
+func (n *node) execute(ctx context.Context, call caller.Call) (*caller.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(n.alive, cancel)
+	answer := n.executor.Execute(ctx, &call)
+	stop()
+	if n.alive.Err() != nil {
+		answer.Close()
+		cancel()
+		return nil, errors.New("connection reset")
+	}
+	if answer.Body == nil {
+		cancel()
+		return answer, nil
+	}
+	answer.Body = &cancelingBody{
+		ReadCloser: answer.Body,
+		cancel:     cancel,
+	}
+	return answer, nil
+}
+
+// cancelingBody ends its call's context when it is closed.
+type cancelingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (c *cancelingBody) Close() error {
+	err := c.ReadCloser.Close()
+	c.cancel()
+	return err
+}
+
+// latency returns the one-way delay between two nodes.
+func (f *Fleet) latency(from, to *node) time.Duration {
+	switch {
+	case to == nil || from.place.region != to.place.region:
+		return f.trace.Latency.Region
+	case from.place.zone != to.place.zone:
+		return f.trace.Latency.Zone
+	default:
+		return 0
+	}
+}
+
+// backend runs calls at the node's stand-in.
+type backend struct {
+	node *node
+}
+
+var _ caller.Backend = backend{}
+
+// Do implements caller.Backend.
+func (b backend) Do(ctx context.Context, call *caller.Call) (*caller.Answer, error) {
+	n := b.node
+	if n.alive.Err() != nil {
+		return nil, caller.NotSent(errors.New("connection refused"))
+	}
+	// The run dies with its instance, whoever waits for it.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(n.alive, cancel)
+	defer stop()
+	response := n.server.Serve(ctx, responder.Request{
+		RequestID: call.RequestID,
+		Method:    call.Method,
+		Path:      call.Path,
+	}, func(ctx context.Context, downstream tracer.Call) int {
+		return n.downstream(ctx, call.CallID, downstream)
+	})
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return &caller.Answer{
+		Status: response.Status,
+		Body:   io.NopCloser(bytes.NewReader(response.Body)),
+	}, nil
+}
+
+// downstream makes a call for the local backend server.
+func (n *node) downstream(ctx context.Context, parentID string, downstream tracer.Call) int {
+	call, err := initiator.New(n.fleet.settings, n.inbound, initiator.Request{
+		Service:  downstream.Service,
+		Method:   downstream.Method,
+		Path:     downstream.Path,
+		URI:      downstream.Path,
+		ParentID: parentID,
+	}, time.Now())
+	if err != nil {
+		return 400
+	}
+	return n.dispatch(ctx, call).Status
+}
+
+// sleep waits and reports whether the time passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/replay/tracer/parse.go
@@ -0,0 +1,222 @@
+package tracer
+
+import (
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/version/checker"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/parser"
+)
+
+// Limits of trace values.
+const (
+	maxTargets = 10_000
+	maxBytes   = 1 << 30
+	maxTime    = 24 * time.Hour
+	thousand   = 1000
+)
+
+// Parse reads a trace; file names it in findings.
+func Parse(file string, content []byte) (*Trace, parser.Findings) {
+	root, findings := parser.Parse(file, content)
+	if root == nil {
+		return nil, findings
+	}
+	object := root.Object("name", "summary", "seed", "duration", "regions", "latency", "services", "arrivals", "phases", "faults", "outcomes")
+	object.Require("name", "duration", "regions", "services", "arrivals")
+	trace := &Trace{
+		Name:     object.String("name", ""),
+		Summary:  object.String("summary", ""),
+		Seed:     uint64(object.Int("seed", 0, 1<<62, 1)),
+		Duration: object.Duration("duration", time.Second, maxTime, time.Minute),
+	}
+	for _, element := range object.Elements("regions") {
+		trace.Regions = append(trace.Regions, readRegion(element))
+	}
+	if field := object.Field("latency"); field != nil {
+		trace.Latency = readLatency(field)
+	}
+	for _, element := range object.Elements("services") {
+		trace.Services = append(trace.Services, readService(element))
+	}
+	for _, element := range object.Elements("arrivals") {
+		trace.Arrivals = append(trace.Arrivals, readArrival(element))
+	}
+	for _, element := range object.Elements("phases") {
+		trace.Phases = append(trace.Phases, readPhase(element))
+	}
+	for _, element := range object.Elements("faults") {
+		trace.Faults = append(trace.Faults, readFault(element))
+	}
+	if field := object.Field("outcomes"); field != nil {
+		trace.Outcomes = readOutcomes(field)
+	}
+	checkReferences(root, trace)
+	findings = root.Findings()
+	findings.Sort()
+	return trace, findings
+}
+
+// checkReferences reports services that the trace uses but does not have.
+func checkReferences(root *parser.Node, trace *Trace) {
+	known := func(name describer.ServiceName, user string) {
+		if trace.Service(name) == nil {
+			root.Reportf("%s names service %s, which the trace does not have", user, name)
+		}
+	}
+	for _, service := range trace.Services {
+		for _, route := range service.Routes {
+			for _, call := range route.Calls {
+				known(call.Service, "route "+service.Name.String()+" "+route.Name)
+			}
+		}
+	}
+	for _, arrival := range trace.Arrivals {
+		known(arrival.Service, "arrival "+arrival.Name)
+	}
+	for _, fault := range trace.Faults {
+		if fault.Kind != FaultLogDown {
+			known(fault.Service, "fault "+string(fault.Kind))
+		}
+	}
+}
+
+func readRegion(node *parser.Node) Region {
+	object := node.Object("name", "zones")
+	object.Require("name", "zones")
+	region := Region{
+		Name: object.String("name", ""),
+	}
+	for _, zone := range object.Elements("zones") {
+		region.Zones = append(region.Zones, zone.String())
+	}
+	return region
+}
+
+func readLatency(node *parser.Node) Latency {
+	object := node.Object("zone", "region", "client")
+	return Latency{
+		Zone:   object.Duration("zone", 0, time.Minute, 0),
+		Region: object.Duration("region", 0, time.Minute, 0),
+		Client: object.Duration("client", 0, time.Minute, 0),
+	}
+}
+
+func readService(node *parser.Node) Service {
+	object := node.Object("name", "targets", "slots", "connections", "routes")
+	object.Require("name", "targets", "slots", "routes")
+	service := Service{
+		Name:        readName(object),
+		Targets:     int(object.Int("targets", 1, maxTargets, 1)),
+		Slots:       int(object.Int("slots", 1, maxTargets, 1)),
+		Connections: int(object.Int("connections", 1, maxTargets, maxTargets)),
+	}
+	for _, element := range object.Elements("routes") {
+		service.Routes = append(service.Routes, readRoute(element, service))
+	}
+	return service
+}
+
+func readName(object parser.Object) describer.ServiceName {
+	field := object.Field("service")
+	if field == nil {
+		field = object.Field("name")
+	}
+	if field == nil {
+		return describer.ServiceName{}
+	}
+	name, err := describer.ParseServiceName(field.String())
+	if err != nil {
+		field.Reportf("%s", err)
+	}
+	return name
+}
+
+// readRoute reads the work of a route; its settings part has the same fields as
+// in a settings document.
+func readRoute(node *parser.Node, service Service) Route {
+	object := node.Object("settings", "work", "answerBytes", "parallel", "calls")
+	object.Require("settings")
+	route := Route{
+		Work:        object.Duration("work", 0, time.Hour, 0),
+		AnswerBytes: int(object.Int("answerBytes", 0, maxBytes, 64)),
+		Parallel:    object.Bool("parallel", false),
+	}
+	if field := object.Field("settings"); field != nil {
+		route.Route = checker.ReadRoute(field, nil)
+	}
+	for _, element := range object.Elements("calls") {
+		call := element.Object("service", "method", "path")
+		call.Require("service", "method", "path")
+		route.Calls = append(route.Calls, Call{
+			Service: readName(call),
+			Method:  call.String("method", "GET"),
+			Path:    call.String("path", "/"),
+		})
+	}
+	return route
+}
+
+func readArrival(node *parser.Node) Arrival {
+	object := node.Object("name", "service", "method", "path", "perSecond", "timeout", "resends", "resendDelay")
+	object.Require("name", "service", "method", "path", "perSecond", "timeout")
+	return Arrival{
+		Name:        object.String("name", ""),
+		Service:     readName(object),
+		Method:      object.String("method", "GET"),
+		Path:        object.String("path", "/"),
+		PerSecond:   float64(object.Int("perSecond", 1, maxBytes, 1)),
+		Timeout:     object.Duration("timeout", time.Millisecond, maxTime, time.Second),
+		Resends:     int(object.Int("resends", 0, thousand, 0)),
+		ResendDelay: object.Duration("resendDelay", 0, maxTime, time.Second),
+	}
+}
+
+func readPhase(node *parser.Node) Phase {
+	object := node.Object("at", "factorPercent")
+	object.Require("at", "factorPercent")
+	return Phase{
+		At:     object.Duration("at", 0, maxTime, 0),
+		Factor: percent(object, "factorPercent", 100*thousand),
+	}
+}
+
+func readFault(node *parser.Node) Fault {
+	object := node.Object("kind", "at", "for", "service", "targets", "factorPercent")
+	object.Require("kind", "at")
+	kinds := []string{
+		string(FaultSlow), string(FaultKill), string(FaultDrain), string(FaultCold), string(FaultLogDown), string(FaultFreeze),
+	}
+	return Fault{
+		Kind:    FaultKind(object.OneOf("kind", "", kinds...)),
+		At:      object.Duration("at", 0, maxTime, 0),
+		For:     object.Duration("for", 0, maxTime, 0),
+		Service: readName(object),
+		Targets: int(object.Int("targets", 0, maxTargets, 0)),
+		Factor:  percent(object, "factorPercent", 100*thousand),
+	}
+}
+
+func readOutcomes(node *parser.Node) Outcomes {
+	object := node.Object("triggerFrom", "triggerTo", "capacity", "goodputPercent", "criticalPercent",
+		"unaffected", "unaffectedPercent", "recovery", "retryPercent")
+	outcomes := Outcomes{
+		TriggerFrom:     object.Duration("triggerFrom", 0, maxTime, 0),
+		TriggerTo:       object.Duration("triggerTo", 0, maxTime, 0),
+		Capacity:        float64(object.Int("capacity", 0, maxBytes, 0)),
+		GoodputShare:    percent(object, "goodputPercent", 100),
+		CriticalShare:   percent(object, "criticalPercent", 100),
+		UnaffectedShare: percent(object, "unaffectedPercent", 100),
+		Recovery:        object.Duration("recovery", 0, maxTime, 0),
+		RetryShare:      percent(object, "retryPercent", 100),
+	}
+	for _, name := range object.Elements("unaffected") {
+		outcomes.Unaffected = append(outcomes.Unaffected, name.String())
+	}
+	return outcomes
+}
+
+// percent returns a whole percentage as a factor.
+func percent(object parser.Object, name string, high int64) float64 {
+	return float64(object.Int(name, 0, high, 0)) / 100
+}
--- /dev/null
+++ b/internal/request/admitter/admitter.go
@@ -0,0 +1,281 @@
+// Package admitter decides which calls a backend server runs, which wait and
+// which are refused. It does no I/O and starts no goroutine: events go in, and
+// the calls to start or refuse come out.
+//
+// # Usage
+//
+//	a := admitter.New(admitter.Config{Slots: 110, MaxQueue: 64, QueueTimeout: 100 * time.Millisecond}, now)
+//	ticket := admitter.NewTicket(priority, hop, deadline, expected)
+//	settled := a.Arrive(now, ticket)
+//	...
+//	settled = a.Done(now, ticket, serviceTime, failed)
+package admitter
+
+import (
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+)
+
+// Config is the settings of one target's admission.
+type Config struct {
+	Slots        int
+	MaxQueue     int
+	QueueTimeout time.Duration
+}
+
+// Switches turns single mechanisms off, for experiments that measure what each
+// is worth. The zero value leaves all of them on.
+type Switches struct {
+	NoLimiter     bool
+	NoThreshold   bool
+	NoCriticality bool
+	NoExpiry      bool
+	NoNewestFirst bool
+}
+
+// Ticket is one call that asks for a slot.
+type Ticket struct {
+	Priority caller.Priority
+	Hop      uint32
+	Deadline time.Time
+	// Expected is the least time that the call is expected to take.
+	Expected time.Duration
+	// Verdict receives exactly one value: ReasonAdmitted or why not.
+	Verdict chan caller.Reason
+	arrived time.Time
+	started time.Time
+}
+
+// NewTicket returns a ticket that has no verdict yet.
+func NewTicket(priority caller.Priority, hop uint32, deadline time.Time, expected time.Duration) *Ticket {
+	return &Ticket{
+		Priority: priority,
+		Hop:      hop,
+		Deadline: deadline,
+		Expected: expected,
+		Verdict:  make(chan caller.Reason, 1),
+	}
+}
+
+// Started returns the time the ticket got its slot.
+func (t *Ticket) Started() time.Time {
+	return t.started
+}
+
+// Waited returns the time the ticket spent in the queue.
+func (t *Ticket) Waited() time.Duration {
+	return t.started.Sub(t.arrived)
+}
+
+func (t *Ticket) settle(reason caller.Reason) {
+	t.Verdict <- reason
+}
+
+// before reports whether t is served before other: higher criticality, then
+// deeper calls, then the newest under overload and the oldest otherwise.
+func (t *Ticket) before(other *Ticket, newestFirst bool) bool {
+	if a, b := t.Priority.Criticality(), other.Priority.Criticality(); a != b {
+		return a > b
+	}
+	if a, b := t.Hop > 0, other.Hop > 0; a != b {
+		return a
+	}
+	if newestFirst {
+		return t.arrived.After(other.arrived)
+	}
+	return t.arrived.Before(other.arrived)
+}
+
+// Admitter is the admission of one backend server. It is not safe for
+// concurrent use; its owner holds one lock around every method.
+type Admitter struct {
+	config    Config
+	switches  Switches
+	limiter   *Limiter
+	threshold Threshold
+	queue     []*Ticket
+	inFlight  int
+	// overloadedUntil keeps the newest-first order for a while after the last
+	// call was shed.
+	overloadedUntil time.Time
+}
+
+// overloadMemory is how long the newest-first order outlasts the last shed call.
+const overloadMemory = time.Second
+
+// New returns an Admitter.
+func New(config Config, switches Switches, now time.Time) *Admitter {
+	return &Admitter{
+		config:   config,
+		switches: switches,
+		limiter:  NewLimiter(config.Slots, now),
+	}
+}
+
+// Configure changes the settings in force.
+func (a *Admitter) Configure(config Config) {
+	if config.Slots != a.config.Slots {
+		a.limiter.SetSlots(config.Slots)
+	}
+	a.config = config
+}
+
+// Load returns what is in use.
+func (a *Admitter) Load() caller.Load {
+	return caller.Load{
+		InFlight:  a.inFlight,
+		Limit:     a.limit(),
+		Queued:    len(a.queue),
+		Threshold: a.threshold.Value(),
+	}
+}
+
+func (a *Admitter) limit() int {
+	if a.switches.NoLimiter {
+		return 1 << 20
+	}
+	return a.limiter.Limit()
+}
+
+// Arrive starts, queues or refuses the ticket, and may refuse queued ones in
+// its place. Verdicts are sent on the tickets' channels; a queued ticket gets
+// its verdict later.
+func (a *Admitter) Arrive(now time.Time, ticket *Ticket) {
+	ticket.arrived = now
+	a.threshold.Arrived(now, ticket.Priority)
+	if a.switches.NoCriticality {
+		ticket.Priority = caller.Priority(uint16(ticket.Priority) & 0xff)
+	}
+	a.expire(now)
+	if a.hopeless(now, ticket) {
+		ticket.settle(caller.ReasonHopeless)
+		return
+	}
+	if a.inFlight < a.limit() && len(a.queue) == 0 {
+		a.start(now, ticket)
+		return
+	}
+	a.limiter.Saturated()
+	if !a.switches.NoThreshold && ticket.Priority < a.threshold.Value() {
+		ticket.settle(caller.ReasonOverload)
+		return
+	}
+	a.enqueue(now, ticket)
+	a.dispatch(now)
+}
+
+func (a *Admitter) enqueue(now time.Time, ticket *Ticket) {
+	a.queue = append(a.queue, ticket)
+	if len(a.queue) <= a.config.MaxQueue {
+		return
+	}
+	last := 0
+	for i := range a.queue {
+		if a.queue[last].before(a.queue[i], a.newestFirst(now)) {
+			last = i
+		}
+	}
+	victim := a.remove(last)
+	a.shed(now)
+	if victim == ticket {
+		victim.settle(caller.ReasonQueueFull)
+		return
+	}
+	victim.settle(caller.ReasonEvicted)
+}
+
+// Done releases the ticket's slot after the backend server finished. The
+// service time excludes what the call waited for calls of its own.
+func (a *Admitter) Done(now time.Time, service time.Duration, failed bool) {
+	a.inFlight--
+	if failed {
+		a.limiter.Failed()
+	}
+	a.limiter.Done(now, service)
+	a.expire(now)
+	a.dispatch(now)
+}
+
+// Abandon removes a ticket whose caller is gone. It reports whether the ticket
+// was still queued; a ticket that already started must be released by Done.
+func (a *Admitter) Abandon(ticket *Ticket) bool {
+	for i := range a.queue {
+		if a.queue[i] == ticket {
+			a.remove(i)
+			return true
+		}
+	}
+	return false
+}
+
+// Tick refuses queued calls whose time is over.
+func (a *Admitter) Tick(now time.Time) {
+	a.threshold.roll(now)
+	a.expire(now)
+	a.dispatch(now)
+}
+
+func (a *Admitter) start(now time.Time, ticket *Ticket) {
+	ticket.started = now
+	a.inFlight++
+	a.threshold.Started()
+	ticket.settle(caller.ReasonAdmitted)
+}
+
+func (a *Admitter) dispatch(now time.Time) {
+	for len(a.queue) > 0 && a.inFlight < a.limit() {
+		first := 0
+		for i := range a.queue {
+			if a.queue[i].before(a.queue[first], a.newestFirst(now)) {
+				first = i
+			}
+		}
+		ticket := a.remove(first)
+		if a.hopeless(now, ticket) {
+			a.shed(now)
+			ticket.settle(caller.ReasonHopeless)
+			continue
+		}
+		a.start(now, ticket)
+	}
+}
+
+// expire refuses queued calls that waited too long.
+func (a *Admitter) expire(now time.Time) {
+	if a.switches.NoExpiry {
+		return
+	}
+	for i := len(a.queue) - 1; i >= 0; i-- {
+		ticket := a.queue[i]
+		if now.Sub(ticket.arrived) < a.config.QueueTimeout && !a.hopeless(now, ticket) {
+			continue
+		}
+		a.remove(i)
+		a.shed(now)
+		ticket.settle(caller.ReasonQueueTimeout)
+	}
+}
+
+// hopeless reports whether the call cannot finish before its deadline.
+func (a *Admitter) hopeless(now time.Time, ticket *Ticket) bool {
+	if a.switches.NoExpiry || ticket.Deadline.IsZero() {
+		return false
+	}
+	return ticket.Deadline.Sub(now) < ticket.Expected || !now.Before(ticket.Deadline)
+}
+
+func (a *Admitter) shed(now time.Time) {
+	a.threshold.Shed()
+	a.overloadedUntil = now.Add(overloadMemory)
+}
+
+func (a *Admitter) newestFirst(now time.Time) bool {
+	return !a.switches.NoNewestFirst && now.Before(a.overloadedUntil)
+}
+
+func (a *Admitter) remove(i int) *Ticket {
+	ticket := a.queue[i]
+	a.queue = append(a.queue[:i], a.queue[i+1:]...)
+	return ticket
+}
--- /dev/null
+++ b/internal/request/caller/errors.go
@@ -0,0 +1,14 @@
+package caller
+
+import "github.com/cockroachdb/errors"
+
+// ErrNotSent marks a failure before any byte of the call left.
+var ErrNotSent = errors.New("call was not sent")
+
+// NotSent marks err as a failure before any byte of the call left.
+func NotSent(err error) error {
+	return errors.Mark(err, ErrNotSent)
+}
+
+// ErrBadBody marks a failure to read the caller's request body.
+var ErrBadBody = errors.New("request body broke off")
--- /dev/null
+++ b/internal/request/executor/executor.go
@@ -0,0 +1,489 @@
+// Package executor is the target's side of a call: it judges the token, admits
+// the call, runs it at the local backend server and tells the caller's node
+// what became of it.
+//
+// # Usage
+//
+//	e := executor.New(executor.Config{...})
+//	answer := e.Execute(ctx, call)
+//	defer answer.Close()
+//	e.Leave()
+package executor
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/admitter"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/deduplicator"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// keptAnswerBytes bounds the answer body remembered for a token.
+const keptAnswerBytes = 64 << 10
+
+// retryAfter is what a refused caller is told to wait.
+const retryAfter = time.Second
+
+// Config is what an Executor needs.
+type Config struct {
+	// ID and Incarnation identify the target.
+	ID          string
+	Incarnation uint64
+	Service     describer.ServiceName
+	// Slots is the announced number of calls the backend server runs at once.
+	Slots    int
+	Backend  caller.Backend
+	Recorder *recorder.Recorder
+	Inbound  *tracker.Table
+	Settings func() *describer.Settings
+	// Successor mints a token for another target of the service, or nil.
+	Successor func() *encoder.Token
+	Switches  admitter.Switches
+}
+
+// Executor runs inbound calls. Its methods are safe for concurrent use.
+type Executor struct {
+	config Config
+
+	// mu guards the fields below and is never held during I/O.
+	mu       sync.Mutex
+	admitter *admitter.Admitter
+	tokens   *deduplicator.Table
+	expected map[string]time.Duration
+	leaving  bool
+	open     int
+	idle     chan struct{}
+}
+
+// New returns an Executor.
+func New(config Config) *Executor {
+	e := &Executor{
+		config:   config,
+		tokens:   deduplicator.New(config.ID, config.Incarnation, deduplicator.DefaultLimits()),
+		expected: make(map[string]time.Duration),
+	}
+	e.admitter = admitter.New(e.admission(), config.Switches, time.Now())
+	return e
+}
+
+func (e *Executor) admission() admitter.Config {
+	service := e.config.Settings().Service(e.config.Service)
+	slots := e.config.Slots
+	if service.MaxConcurrency > 0 {
+		slots = min(slots, service.MaxConcurrency)
+	}
+	return admitter.Config{
+		Slots:        slots,
+		MaxQueue:     service.MaxQueue,
+		QueueTimeout: service.QueueTimeout,
+	}
+}
+
+// Reconfigure applies the settings now in force.
+func (e *Executor) Reconfigure() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admitter.Configure(e.admission())
+}
+
+// Leave refuses new calls from now on.
+func (e *Executor) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Idle returns a channel that is closed once no call is open.
+func (e *Executor) Idle() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.idle == nil {
+		e.idle = make(chan struct{})
+		if e.open == 0 {
+			close(e.idle)
+		}
+	}
+	return e.idle
+}
+
+// Open returns the number of calls that are not answered in full.
+func (e *Executor) Open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.open
+}
+
+// Load returns the target's load.
+func (e *Executor) Load() caller.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := e.admitter.Load()
+	load.Leaving = e.leaving
+	return load
+}
+
+// Execute runs one inbound call. The caller reads and closes the answer's body.
+func (e *Executor) Execute(ctx context.Context, call *caller.Call) *caller.Answer {
+	e.enter()
+	answer := e.judge(ctx, call)
+	answer.Load = e.Load()
+	unspent := answer.Unspent
+	if unspent == nil {
+		answer.Unspent = func() uint32 {
+			return call.Allowance
+		}
+	}
+	if answer.Body == nil {
+		e.exit()
+		return answer
+	}
+	answer.Body = &closeOnce{
+		ReadCloser: answer.Body,
+		onClose:    e.exit,
+	}
+	return answer
+}
+
+func (e *Executor) enter() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open++
+}
+
+func (e *Executor) exit() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open--
+	if e.open == 0 && e.idle != nil && e.leaving {
+		select {
+		case <-e.idle:
+		default:
+			close(e.idle)
+		}
+	}
+}
+
+func (e *Executor) judge(ctx context.Context, call *caller.Call) *caller.Answer {
+	if call.Token == nil {
+		return e.admitAndRun(ctx, call, nil)
+	}
+	e.mu.Lock()
+	entry, verdict := e.tokens.Begin(time.Now(), call.Token, call.ResolveOnly)
+	e.mu.Unlock()
+	switch verdict {
+	case deduplicator.Run:
+		return e.admitAndRun(ctx, call, entry)
+	case deduplicator.Foreign:
+		return e.refuse(call, caller.Unknown, caller.ReasonIncarnation)
+	case deduplicator.Expired:
+		return e.refuse(call, caller.Unknown, caller.ReasonTokenExpired)
+	case deduplicator.Full:
+		return e.refuse(call, caller.Unknown, caller.ReasonTokenTableFull)
+	case deduplicator.Wait:
+		return e.await(ctx, call, entry)
+	default:
+		return e.remembered(call, entry)
+	}
+}
+
+// await waits for the end of the same call that another copy started.
+func (e *Executor) await(ctx context.Context, call *caller.Call, entry *deduplicator.Entry) *caller.Answer {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	select {
+	case <-entry.Done():
+		return e.remembered(call, entry)
+	case <-ctx.Done():
+		return e.refuse(call, caller.Unknown, caller.ReasonTimeout)
+	}
+}
+
+// remembered answers from the entry of a call that ended.
+func (e *Executor) remembered(call *caller.Call, entry *deduplicator.Entry) *caller.Answer {
+	if entry.Verdict() == deduplicator.Refused {
+		return e.refuseBound(call, entry, caller.ReasonTombstone)
+	}
+	outcome := entry.Outcome()
+	if outcome.Answer.Outcome != caller.Answered {
+		return e.refuse(call, outcome.Answer.Outcome, outcome.Answer.Reason)
+	}
+	if !outcome.Kept {
+		return e.refuse(call, caller.Ran, caller.ReasonBodyTooLarge)
+	}
+	e.record(call, recorder.Replay, caller.ReasonReplayed, caller.Answered, 0)
+	answer := outcome.Answer
+	answer.Header = answer.Header.Clone()
+	answer.Body = io.NopCloser(bytes.NewReader(outcome.Body))
+	return &answer
+}
+
+// refuse answers without running the call.
+func (e *Executor) refuse(call *caller.Call, outcome caller.Outcome, reason caller.Reason) *caller.Answer {
+	e.record(call, recorder.Refuse, reason, outcome, 0)
+	answer := caller.Refuse(outcome, reason)
+	answer.RetryAfter = retryAfter
+	return answer
+}
+
+// refuseBound refuses the call for good and names the successor token.
+func (e *Executor) refuseBound(call *caller.Call, entry *deduplicator.Entry, reason caller.Reason) *caller.Answer {
+	if entry != nil {
+		e.settleRefusal(entry)
+	}
+	answer := e.refuse(call, caller.NotRun, reason)
+	if entry != nil {
+		answer.Successor = entry.Successor()
+	}
+	return answer
+}
+
+func (e *Executor) settleRefusal(entry *deduplicator.Entry) {
+	e.mu.Lock()
+	missing := entry.Successor() == nil
+	e.mu.Unlock()
+	var successor *encoder.Token
+	if missing && e.config.Successor != nil {
+		successor = e.config.Successor()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tokens.Refuse(entry, successor)
+}
+
+func (e *Executor) admitAndRun(ctx context.Context, call *caller.Call, entry *deduplicator.Entry) *caller.Answer {
+	ticket, reason := e.admit(ctx, call)
+	if reason != caller.ReasonAdmitted {
+		return e.refuseBound(call, entry, reason)
+	}
+	e.record(call, recorder.Admit, caller.ReasonAdmitted, caller.Answered, ticket.Waited())
+	return e.run(ctx, call, entry, ticket)
+}
+
+// admit waits for a slot. The ticket holds one exactly when the reason is
+// ReasonAdmitted.
+func (e *Executor) admit(ctx context.Context, call *caller.Call) (*admitter.Ticket, caller.Reason) {
+	e.mu.Lock()
+	if e.leaving {
+		e.mu.Unlock()
+		return nil, caller.ReasonLeaving
+	}
+	ticket := admitter.NewTicket(call.Priority, call.Hop, call.Deadline, e.expected[call.Route])
+	e.admitter.Arrive(time.Now(), ticket)
+	e.mu.Unlock()
+	select {
+	case reason := <-ticket.Verdict:
+		return ticket, reason
+	default:
+	}
+	return ticket, e.wait(ctx, ticket)
+}
+
+func (e *Executor) wait(ctx context.Context, ticket *admitter.Ticket) caller.Reason {
+	timeout := e.config.Settings().Service(e.config.Service).QueueTimeout
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		select {
+		case reason := <-ticket.Verdict:
+			return reason
+		case <-timer.C:
+			e.mu.Lock()
+			e.admitter.Tick(time.Now())
+			e.mu.Unlock()
+			timer.Reset(timeout)
+		case <-ctx.Done():
+			return e.abandon(ticket)
+		}
+	}
+}
+
+// abandon gives up a ticket whose caller is gone.
+func (e *Executor) abandon(ticket *admitter.Ticket) caller.Reason {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.admitter.Abandon(ticket) {
+		return caller.ReasonCanceled
+	}
+	return <-ticket.Verdict
+}
+
+// run sends an admitted call to the backend server.
+func (e *Executor) run(ctx context.Context, call *caller.Call, entry *deduplicator.Entry, ticket *admitter.Ticket) *caller.Answer {
+	if entry != nil {
+		// A call that must not run twice is not cut when its caller goes: the
+		// outcome stays available to whoever asks with the token.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	inbound := e.config.Inbound.Add(call)
+	answer, err := e.config.Backend.Do(ctx, call)
+	release := func(failed bool) {
+		e.release(call, inbound, ticket, failed)
+		cancel()
+	}
+	if err != nil {
+		release(overloadError(ctx, err))
+		return e.backendError(ctx, call, entry, err)
+	}
+	answer.PathThreshold = inbound.PathThreshold()
+	answer.Unspent = inbound.Pool.Left
+	failed := answer.Status == 503 || answer.Status == 429
+	answer.Body = &closeOnce{
+		ReadCloser: answer.Body,
+		onClose: func() {
+			release(failed && answer.PathThreshold == 0)
+		},
+	}
+	if entry != nil {
+		return e.keep(entry, answer)
+	}
+	return answer
+}
+
+// overloadError reports whether a failed run is a sign of overload.
+func overloadError(ctx context.Context, err error) bool {
+	return errors.Is(err, caller.ErrNotSent) || ctx.Err() == nil
+}
+
+// release ends a run.
+func (e *Executor) release(call *caller.Call, inbound *tracker.Inbound, ticket *admitter.Ticket, failed bool) {
+	now := time.Now()
+	e.config.Inbound.Remove(call.CallID)
+	total := now.Sub(ticket.Started())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admitter.Done(now, total-inbound.Waited(now), failed)
+	e.learn(call.Route, total)
+}
+
+// learn keeps the least time that calls of a route take: it falls at once and
+// rises slowly.
+func (e *Executor) learn(route string, total time.Duration) {
+	const riseShare = 100
+	known, ok := e.expected[route]
+	if !ok || total < known {
+		e.expected[route] = total
+		return
+	}
+	e.expected[route] = known + (total-known)/riseShare
+}
+
+// backendError turns a failed run into a refusal.
+func (e *Executor) backendError(ctx context.Context, call *caller.Call, entry *deduplicator.Entry, err error) *caller.Answer {
+	if errors.Is(err, caller.ErrNotSent) {
+		answer := e.refuseBound(call, entry, caller.ReasonBackendUnreachable)
+		answer.Detail = err.Error()
+		return answer
+	}
+	reason := caller.ReasonBackendFailed
+	if errors.Is(err, caller.ErrBadBody) {
+		reason = caller.ReasonBodyBroken
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = caller.ReasonTimeout
+	} else if ctx.Err() != nil {
+		reason = caller.ReasonCanceled
+	}
+	answer := e.refuse(call, caller.Unknown, reason)
+	answer.Detail = err.Error()
+	if entry != nil {
+		e.finish(entry, deduplicator.Outcome{
+			Answer: *answer,
+		})
+	}
+	return answer
+}
+
+func (e *Executor) finish(entry *deduplicator.Entry, outcome deduplicator.Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tokens.Finish(entry, outcome)
+}
+
+// keep reads a small answer whole and remembers it for the token; a larger one
+// is remembered without its body and passed on as it comes.
+func (e *Executor) keep(entry *deduplicator.Entry, answer *caller.Answer) *caller.Answer {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, keptAnswerBytes+1))
+	if err == nil && len(body) > keptAnswerBytes {
+		e.finish(entry, deduplicator.Outcome{
+			Answer: *answer,
+		})
+		answer.Body = &prefixedBody{
+			Reader: io.MultiReader(bytes.NewReader(body), answer.Body),
+			closer: answer.Body,
+		}
+		return answer
+	}
+	answer.Body.Close()
+	if err != nil {
+		broken := caller.Refuse(caller.Ran, caller.ReasonBodyBroken)
+		broken.Detail = err.Error()
+		e.finish(entry, deduplicator.Outcome{
+			Answer: *broken,
+		})
+		return broken
+	}
+	stored := *answer
+	stored.Body = nil
+	stored.Unspent = nil
+	stored.Header = answer.Header.Clone()
+	e.finish(entry, deduplicator.Outcome{
+		Answer: stored,
+		Body:   body,
+		Kept:   true,
+	})
+	answer.Body = io.NopCloser(bytes.NewReader(body))
+	return answer
+}
+
+func (e *Executor) record(call *caller.Call, action recorder.Action, reason caller.Reason, outcome caller.Outcome, wait time.Duration) {
+	e.config.Recorder.Record(recorder.Decision{
+		RequestID: call.RequestID,
+		CallID:    call.CallID,
+		Hop:       call.Hop,
+		Attempt:   call.Attempt,
+		Action:    action,
+		Reason:    reason,
+		Outcome:   outcome,
+		Service:   call.Service,
+		Route:     call.Route,
+		Target:    e.config.ID,
+		Priority:  call.Priority,
+		Allowance: call.Allowance,
+		Wait:      wait,
+	})
+}
+
+// closeOnce runs onClose at the first Close.
+type closeOnce struct {
+	io.ReadCloser
+	once    sync.Once
+	onClose func()
+}
+
+// Close implements io.Closer.
+func (c *closeOnce) Close() error {
+	err := c.ReadCloser.Close()
+	c.once.Do(c.onClose)
+	return err
+}
+
+// prefixedBody reads a prefix before the rest of a body.
+type prefixedBody struct {
+	io.Reader
+	closer io.Closer
+}
+
+// Close implements io.Closer.
+func (p *prefixedBody) Close() error {
+	return p.closer.Close()
+}
--- /dev/null
+++ b/internal/request/recorder/recorder.go
@@ -0,0 +1,218 @@
+// Package recorder keeps the decisions a node takes about calls. One typed
+// Decision is the source of the log line, the counter and the explanation.
+//
+// # Usage
+//
+//	rec := recorder.New(logger, "node-1", 65536)
+//	rec.Record(recorder.Decision{RequestID: id, Action: recorder.Route, Reason: caller.ReasonNearest})
+//	decisions := rec.Find(id)
+package recorder
+
+import (
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+)
+
+// Action is what a decision does.
+type Action uint8
+
+// The actions.
+const (
+	Route Action = iota
+	Retry
+	Admit
+	Refuse
+	Resolve
+	Answer
+	Replay
+	Place
+)
+
+var actionNames = []string{"route", "retry", "admit", "refuse", "resolve", "answer", "replay", "place"}
+
+// String returns the written name.
+func (a Action) String() string {
+	if int(a) < len(actionNames) {
+		return actionNames[a]
+	}
+	return "unrecognized"
+}
+
+// Decision is one decision about one call.
+type Decision struct {
+	Time      time.Time
+	RequestID string
+	CallID    string
+	Hop       uint32
+	Attempt   uint32
+	Action    Action
+	Reason    caller.Reason
+	Outcome   caller.Outcome
+	Service   describer.ServiceName
+	Route     string
+	// Target is the member the decision is about.
+	Target    string
+	Priority  caller.Priority
+	Threshold caller.Priority
+	Allowance uint32
+	Wait      time.Duration
+}
+
+// Exported is the JSON form of a Decision.
+type Exported struct {
+	Time      time.Time `json:"time"`
+	Node      string    `json:"node"`
+	RequestID string    `json:"requestId"`
+	CallID    string    `json:"callId"`
+	Hop       uint32    `json:"hop"`
+	Attempt   uint32    `json:"attempt"`
+	Action    string    `json:"action"`
+	Reason    string    `json:"reason"`
+	Outcome   string    `json:"outcome"`
+	Service   string    `json:"service"`
+	Route     string    `json:"route"`
+	Target    string    `json:"target,omitempty"`
+	Priority  uint16    `json:"priority"`
+	Threshold uint16    `json:"threshold"`
+	Allowance uint32    `json:"allowance"`
+	Wait      string    `json:"wait,omitempty"`
+}
+
+// Export returns the JSON form of the decision taken at node.
+func (d Decision) Export(node string) Exported {
+	exported := Exported{
+		Time:      d.Time,
+		Node:      node,
+		RequestID: d.RequestID,
+		CallID:    d.CallID,
+		Hop:       d.Hop,
+		Attempt:   d.Attempt,
+		Action:    d.Action.String(),
+		Reason:    d.Reason.String(),
+		Outcome:   d.Outcome.String(),
+		Service:   d.Service.String(),
+		Route:     d.Route,
+		Target:    d.Target,
+		Priority:  uint16(d.Priority),
+		Threshold: uint16(d.Threshold),
+		Allowance: d.Allowance,
+	}
+	if d.Wait > 0 {
+		exported.Wait = d.Wait.String()
+	}
+	return exported
+}
+
+// Recorder logs, counts and keeps decisions. Its methods are safe for
+// concurrent use.
+type Recorder struct {
+	log      *logrus.Logger
+	node     string
+	counters [actionCount][reasonCount]atomic.Int64
+
+	mu   sync.Mutex
+	ring []Decision
+	next int
+}
+
+const (
+	actionCount = 8
+	reasonCount = caller.MaxReason + 1
+)
+
+// New returns a Recorder that keeps the last size decisions. A nil log writes
+// no lines.
+func New(log *logrus.Logger, node string, size int) *Recorder {
+	return &Recorder{
+		log:  log,
+		node: node,
+		ring: make([]Decision, 0, size),
+	}
+}
+
+// Record logs, counts and keeps one decision.
+func (r *Recorder) Record(d Decision) {
+	d.Time = time.Now()
+	r.counters[d.Action][d.Reason].Add(1)
+	r.keep(d)
+	if r.log == nil || !r.log.IsLevelEnabled(logrus.InfoLevel) {
+		return
+	}
+	r.log.WithTime(d.Time).WithFields(logrus.Fields{
+		"action":    d.Action.String(),
+		"allowance": d.Allowance,
+		"attempt":   d.Attempt,
+		"call":      d.CallID,
+		"hop":       d.Hop,
+		"node":      r.node,
+		"outcome":   d.Outcome.String(),
+		"priority":  uint16(d.Priority),
+		"reason":    d.Reason.String(),
+		"request":   d.RequestID,
+		"route":     d.Route,
+		"service":   d.Service.String(),
+		"target":    d.Target,
+		"threshold": uint16(d.Threshold),
+		"wait":      d.Wait,
+	}).Info("decision")
+}
+
+func (r *Recorder) keep(d Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < cap(r.ring) {
+		r.ring = append(r.ring, d)
+		return
+	}
+	if len(r.ring) == 0 {
+		return
+	}
+	r.ring[r.next] = d
+	r.next = (r.next + 1) % len(r.ring)
+}
+
+// Find returns the kept decisions about a request, in the order taken.
+func (r *Recorder) Find(requestID string) []Exported {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := []Exported{}
+	for i := range r.ring {
+		d := &r.ring[(r.next+i)%len(r.ring)]
+		if d.RequestID == requestID {
+			found = append(found, d.Export(r.node))
+		}
+	}
+	return found
+}
+
+// Count returns how often a decision was taken.
+func (r *Recorder) Count(action Action, reason caller.Reason) int64 {
+	return r.counters[action][reason].Load()
+}
+
+// Counters returns all non-zero counters by "action.reason".
+func (r *Recorder) Counters() map[string]int64 {
+	counts := make(map[string]int64)
+	for action := range r.counters {
+		for reason := range r.counters[action] {
+			if n := r.counters[action][reason].Load(); n > 0 {
+				counts[Action(action).String()+"."+caller.Reason(reason).String()] = n
+			}
+		}
+	}
+	return counts
+}
+
+// Var returns the counters as an expvar variable.
+func (r *Recorder) Var() expvar.Var {
+	return expvar.Func(func() any {
+		return r.Counters()
+	})
+}
--- /dev/null
+++ b/internal/request/router/router.go
@@ -0,0 +1,468 @@
+// Package router chooses the target of each attempt from the node's own
+// observations, which outrank what targets report about themselves.
+//
+// # Usage
+//
+//	r := router.New(router.Config{Zone: "ol-kalou-1", Region: "ol-kalou"}, rng)
+//	r.Update(now, members)
+//	target, reason := r.Choose(now, service, router.Constraints{})
+//	r.Started(target)
+//	r.Finished(now, target, router.Observation{Latency: d, Load: load})
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// Router parameters.
+const (
+	// spillUtilization is the utilization from which the next tier is tried.
+	spillUtilization = 0.8
+	// loadAge is the time for which a reported load counts.
+	loadAge = time.Second
+	// latencyWeight is the weight of a new latency in the moving average.
+	latencyWeight = 0.1
+	// slowFactor marks a target as slow against the others of its service.
+	slowFactor = 3
+	// slowMargin is the least difference that marks a target as slow.
+	slowMargin = 20 * time.Millisecond
+	// latencyAge is the time after which an unused latency no longer counts.
+	latencyAge = 5 * time.Second
+	minSamples = 10
+	// ejectFailures is the number of failures in a row that eject a target.
+	ejectFailures = 3
+	ejectBase     = time.Second
+	ejectLimit    = 30 * time.Second
+	// maxEjectedShare bounds the ejected targets of a service.
+	maxEjectedShare = 0.5
+	// slowStart is the time over which a new target takes up its share.
+	slowStart    = 10 * time.Second
+	minRampShare = 0.1
+)
+
+// Switches turns single mechanisms off, for experiments that measure what each
+// is worth. The zero value leaves all of them on.
+type Switches struct {
+	NoZones     bool
+	NoEjection  bool
+	NoSlowStart bool
+	NoSlowness  bool
+	// Random ignores every observation.
+	Random bool
+}
+
+// Config is where the router's node stands.
+type Config struct {
+	Zone     string
+	Region   string
+	Switches Switches
+}
+
+// Target is one backend server with what this node observed of it.
+type Target struct {
+	Member *encoder.Member
+
+	inFlight    int
+	latency     time.Duration
+	latencyTime time.Time
+	samples     int
+	load        caller.Load
+	loadTime    time.Time
+	failures    int
+	ejections   int
+	ejectedTo   time.Time
+	since       time.Time
+}
+
+// InFlight returns the attempts of this node that the target has not answered.
+func (t *Target) InFlight() int {
+	return t.inFlight
+}
+
+// Load returns the load that the target last reported.
+func (t *Target) Load() caller.Load {
+	return t.load
+}
+
+// Ejected reports whether the target is ejected at now.
+func (t *Target) Ejected(now time.Time) bool {
+	return now.Before(t.ejectedTo)
+}
+
+// Constraints limits one choice.
+type Constraints struct {
+	// Exclude lists the member IDs already tried.
+	Exclude []string
+	// CrossRegion tells whether another region may be used.
+	CrossRegion bool
+}
+
+// Observation is what one attempt showed.
+type Observation struct {
+	Latency time.Duration
+	// Load is nil when the target did not answer.
+	Load *caller.Load
+	// Failed marks an attempt that the target did not answer or failed.
+	Failed bool
+}
+
+// Router holds the known targets of each service. It is not safe for concurrent
+// use; its owner holds one lock around every method.
+type Router struct {
+	config   Config
+	rng      *rand.Rand
+	services map[describer.ServiceName]*group
+	byID     map[string]*Target
+	started  time.Time
+}
+
+// group is the targets of one service.
+type group struct {
+	targets []*Target
+	// scratch holds the candidates of one choice.
+	scratch []*Target
+}
+
+// New returns a router without targets.
+func New(config Config, rng *rand.Rand) *Router {
+	return &Router{
+		config:   config,
+		rng:      rng,
+		services: make(map[describer.ServiceName]*group),
+		byID:     make(map[string]*Target),
+	}
+}
+
+// ServiceOf returns the service that a member's backend server runs.
+func ServiceOf(member *encoder.Member) describer.ServiceName {
+	return describer.ServiceName{
+		Team: member.GetTeam(),
+		Name: member.GetService(),
+	}
+}
+
+// Update takes the current announcement of one member.
+func (r *Router) Update(now time.Time, member *encoder.Member) {
+	if r.started.IsZero() {
+		r.started = now
+	}
+	name := ServiceOf(member)
+	if name.Name == "" {
+		return
+	}
+	target := r.byID[member.GetId()]
+	if member.GetState() == encoder.MemberState_DEAD {
+		if target != nil {
+			r.remove(target)
+		}
+		return
+	}
+	if target != nil && target.Member.GetIncarnation() == member.GetIncarnation() && ServiceOf(target.Member) == name {
+		target.Member = member
+		return
+	}
+	if target != nil {
+		r.remove(target)
+	}
+	r.add(now, member)
+}
+
+func (r *Router) add(now time.Time, member *encoder.Member) {
+	target := &Target{
+		Member: member,
+		since:  time.Unix(0, int64(member.GetIncarnation())),
+	}
+	if target.since.After(now) {
+		target.since = now
+	}
+	name := ServiceOf(member)
+	g := r.services[name]
+	if g == nil {
+		g = &group{}
+		r.services[name] = g
+	}
+	g.targets = append(g.targets, target)
+	r.byID[member.GetId()] = target
+}
+
+func (r *Router) remove(target *Target) {
+	delete(r.byID, target.Member.GetId())
+	g := r.services[ServiceOf(target.Member)]
+	g.targets = slices.DeleteFunc(g.targets, func(other *Target) bool {
+		return other == target
+	})
+}
+
+// Target returns the target with the given member ID, or nil.
+func (r *Router) Target(id string) *Target {
+	return r.byID[id]
+}
+
+// Targets returns the targets of a service.
+func (r *Router) Targets(service describer.ServiceName) []*Target {
+	g := r.services[service]
+	if g == nil {
+		return nil
+	}
+	return slices.Clone(g.targets)
+}
+
+// Known reports whether a service ever had a target.
+func (r *Router) Known(service describer.ServiceName) bool {
+	return r.services[service] != nil
+}
+
+// OverloadedShare returns the share of a service's targets that reported
+// overload lately.
+func (r *Router) OverloadedShare(now time.Time, service describer.ServiceName) float64 {
+	g := r.services[service]
+	if g == nil || len(g.targets) == 0 {
+		return 0
+	}
+	busy := 0
+	for _, target := range g.targets {
+		recent := now.Sub(target.loadTime) < loadAge
+		if recent && (target.load.Threshold > 0 || target.load.Utilization() >= 1) {
+			busy++
+		}
+	}
+	return float64(busy) / float64(len(g.targets))
+}
+
+// tier is how near a target is.
+type tier int
+
+const (
+	sameZone tier = iota
+	sameRegion
+	otherRegion
+	tiers
+)
+
+func (r *Router) tierOf(target *Target) tier {
+	switch {
+	case r.config.Switches.NoZones:
+		return sameZone
+	case target.Member.GetZone() == r.config.Zone && target.Member.GetRegion() == r.config.Region:
+		return sameZone
+	case target.Member.GetRegion() == r.config.Region:
+		return sameRegion
+	default:
+		return otherRegion
+	}
+}
+
+// Choose returns the target for one attempt, or nil with the reason.
+//
+// Nearer targets go first; a tier is left when the better of two random
+// candidates is busy or slow. When no tier has spare capacity, the least loaded
+// candidate is taken.
+func (r *Router) Choose(now time.Time, service describer.ServiceName, constraints Constraints) (*Target, caller.Reason) {
+	g := r.services[service]
+	if g == nil {
+		return nil, caller.ReasonNoTarget
+	}
+	r.collect(now, g, constraints, true)
+	if len(g.scratch) == 0 {
+		// Rather an ejected target than none.
+		r.collect(now, g, constraints, false)
+	}
+	if len(g.scratch) == 0 {
+		return nil, caller.ReasonNoTarget
+	}
+	if r.config.Switches.Random {
+		return g.scratch[r.rng.IntN(len(g.scratch))], caller.ReasonNearest
+	}
+	median := r.medianLatency(now, g)
+	var best *Target
+	bestScore := 0.0
+	for level := sameZone; level < tiers; level++ {
+		target, score := r.better(now, g.scratch, level, median)
+		if target == nil {
+			continue
+		}
+		if score < spillUtilization {
+			if level == sameZone || best == nil {
+				return target, caller.ReasonNearest
+			}
+			return target, caller.ReasonSpill
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = target, score
+		}
+	}
+	return best, caller.ReasonLeastLoaded
+}
+
+// collect fills the scratch with the usable targets.
+func (r *Router) collect(now time.Time, g *group, constraints Constraints, honorEjection bool) {
+	g.scratch = g.scratch[:0]
+	ejected := 0
+	for _, target := range g.targets {
+		if target.Ejected(now) {
+			ejected++
+		}
+	}
+	if r.config.Switches.NoEjection || float64(ejected) > maxEjectedShare*float64(len(g.targets)) {
+		honorEjection = false
+	}
+	for _, target := range g.targets {
+		if target.Member.GetState() == encoder.MemberState_LEAVING || target.load.Leaving {
+			continue
+		}
+		if honorEjection && target.Ejected(now) {
+			continue
+		}
+		if !constraints.CrossRegion && r.tierOf(target) == otherRegion {
+			continue
+		}
+		if slices.Contains(constraints.Exclude, target.Member.GetId()) {
+			continue
+		}
+		g.scratch = append(g.scratch, target)
+	}
+}
+
+// better returns the better of two random candidates of a tier.
+func (r *Router) better(now time.Time, candidates []*Target, level tier, median time.Duration) (*Target, float64) {
+	var first, second *Target
+	count := 0
+	for _, target := range candidates {
+		if r.tierOf(target) != level {
+			continue
+		}
+		count++
+		// Reservoir sampling keeps two uniform candidates without a copy.
+		switch {
+		case count == 1:
+			first = target
+		case count == 2:
+			second = target
+		default:
+			if slot := r.rng.IntN(count); slot == 0 {
+				first = target
+			} else if slot == 1 {
+				second = target
+			}
+		}
+	}
+	if first == nil {
+		return nil, 0
+	}
+	firstScore := r.score(now, first, median)
+	if second == nil {
+		return first, firstScore
+	}
+	if secondScore := r.score(now, second, median); secondScore < firstScore || (secondScore == firstScore && r.rng.IntN(2) == 0) {
+		return second, secondScore
+	}
+	return first, firstScore
+}
+
+// score estimates the target's utilization from its last report and this
+// node's own attempts since; slow and new targets count as busier.
+func (r *Router) score(now time.Time, target *Target, median time.Duration) float64 {
+	limit := float64(max(target.load.Limit, 1))
+	if target.load.Limit == 0 {
+		limit = float64(max(target.Member.GetSlots(), 1))
+	}
+	busy := float64(target.inFlight)
+	if now.Sub(target.loadTime) < loadAge {
+		busy = max(busy, float64(target.load.InFlight+target.load.Queued))
+	}
+	score := (busy + 1) / limit
+	if r.slow(now, target, median) {
+		score += 1
+	}
+	if share := r.ramp(now, target); share < 1 {
+		score /= share
+	}
+	return score
+}
+
+func (r *Router) slow(now time.Time, target *Target, median time.Duration) bool {
+	if r.config.Switches.NoSlowness || median == 0 || target.samples < minSamples || now.Sub(target.latencyTime) > latencyAge {
+		return false
+	}
+	return target.latency > slowFactor*median && target.latency > median+slowMargin
+}
+
+// ramp returns the share of its normal load that a new target takes. A target
+// is new only to a node that already knew others.
+func (r *Router) ramp(now time.Time, target *Target) float64 {
+	age := now.Sub(target.since)
+	if r.config.Switches.NoSlowStart || age >= slowStart || now.Sub(r.started) < slowStart {
+		return 1
+	}
+	return max(minRampShare, float64(age)/float64(slowStart))
+}
+
+func (r *Router) medianLatency(now time.Time, g *group) time.Duration {
+	var buffer [32]time.Duration
+	latencies := buffer[:0]
+	for _, target := range g.targets {
+		if target.samples >= minSamples && now.Sub(target.latencyTime) <= latencyAge && len(latencies) < len(buffer) {
+			latencies = append(latencies, target.latency)
+		}
+	}
+	if len(latencies) < 2 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[(len(latencies)-1)/2]
+}
+
+// Started notes the start of an attempt.
+func (r *Router) Started(target *Target) {
+	target.inFlight++
+}
+
+// Finished notes the end of an attempt.
+func (r *Router) Finished(now time.Time, target *Target, seen Observation) {
+	target.inFlight--
+	if seen.Load != nil {
+		target.load = *seen.Load
+		target.loadTime = now
+	}
+	if seen.Failed {
+		r.failed(now, target)
+		return
+	}
+	if seen.Load == nil {
+		return
+	}
+	target.failures = 0
+	if !target.Ejected(now) {
+		target.ejections = 0
+	}
+	if seen.Latency > 0 {
+		target.observe(now, seen.Latency)
+	}
+}
+
+func (t *Target) observe(now time.Time, latency time.Duration) {
+	if t.samples == 0 || now.Sub(t.latencyTime) > latencyAge {
+		t.latency = latency
+		t.samples = 0
+	}
+	t.latency += time.Duration(latencyWeight * float64(latency-t.latency))
+	t.latencyTime = now
+	t.samples++
+}
+
+func (r *Router) failed(now time.Time, target *Target) {
+	target.failures++
+	if target.failures < ejectFailures {
+		return
+	}
+	target.failures = 0
+	duration := min(ejectBase<<min(target.ejections, 10), ejectLimit)
+	target.ejections++
+	target.ejectedTo = now.Add(duration + time.Duration(r.rng.Int64N(int64(duration/4))))
+}
--- /dev/null
+++ b/internal/version/checker/checker.go
@@ -0,0 +1,167 @@
+// Package checker turns settings documents into typed values and collects all
+// findings.
+//
+// Paths have one subtree for each team: /TEAM/team holds what the team's
+// services share, and /TEAM/services/NAME describes one service.
+//
+// # Usage
+//
+//	path, err := checker.ParsePath("/county/services/allot")
+//	service, findings := checker.CheckService("allot.jsonc", path, content)
+package checker
+
+import (
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/parser"
+)
+
+// Limits of settings values.
+const (
+	maxSlots          = 100_000
+	maxQueue          = 100_000
+	maxRetryAllowance = 100
+	minTimeout        = time.Millisecond
+	maxTimeout        = time.Hour
+	maxBytesPerSecond = 1 << 40
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Path names one settings document.
+type Path struct {
+	Team string
+	// Service is empty for the team's own document.
+	Service string
+}
+
+// String returns the written path.
+func (p Path) String() string {
+	if p.Service == "" {
+		return "/" + p.Team + "/team"
+	}
+	return "/" + p.Team + "/services/" + p.Service
+}
+
+// ServiceName returns the service that the path describes.
+func (p Path) ServiceName() describer.ServiceName {
+	return describer.ServiceName{
+		Team: p.Team,
+		Name: p.Service,
+	}
+}
+
+// ParsePath reads a path written as /TEAM/team or /TEAM/services/NAME.
+func ParsePath(text string) (Path, error) {
+	parts := strings.Split(text, "/")
+	if len(parts) == 3 && parts[0] == "" && parts[2] == "team" && namePattern.MatchString(parts[1]) {
+		return Path{
+			Team: parts[1],
+		}, nil
+	}
+	if len(parts) == 4 && parts[0] == "" && parts[2] == "services" && namePattern.MatchString(parts[1]) && namePattern.MatchString(parts[3]) {
+		return Path{
+			Team:    parts[1],
+			Service: parts[3],
+		}, nil
+	}
+	return Path{}, errors.Newf("path %q is not /TEAM/team or /TEAM/services/NAME in lower case letters, digits and hyphens", text)
+}
+
+// Document is the typed content of one settings document: exactly one of its
+// fields is set.
+type Document struct {
+	Service *describer.Service
+	Team    *describer.Team
+}
+
+// Check reads the document at path; file names it in findings.
+func Check(file string, path Path, content []byte) (Document, parser.Findings) {
+	root, findings := parser.Parse(file, content)
+	if root == nil {
+		return Document{}, findings
+	}
+	document := Document{}
+	if path.Service == "" {
+		document.Team = readTeam(root, path)
+	} else {
+		document.Service = readService(root, path)
+	}
+	findings = root.Findings()
+	findings.Sort()
+	return document, findings
+}
+
+func readTeam(root *parser.Node, path Path) *describer.Team {
+	object := root.Object("crossRegionBytesPerSecond")
+	return &describer.Team{
+		Name:                      path.Team,
+		CrossRegionBytesPerSecond: object.Int("crossRegionBytesPerSecond", 0, maxBytesPerSecond, 0),
+	}
+}
+
+func readService(root *parser.Node, path Path) *describer.Service {
+	object := root.Object("maxConcurrency", "maxQueue", "queueTimeout", "retryAllowance", "crossRegion", "routes")
+	service := &describer.Service{
+		Name:           path.ServiceName(),
+		MaxConcurrency: int(object.Int("maxConcurrency", 1, maxSlots, 0)),
+		MaxQueue:       int(object.Int("maxQueue", 0, maxQueue, describer.DefaultMaxQueue)),
+		QueueTimeout:   object.Duration("queueTimeout", minTimeout, maxTimeout, describer.DefaultQueueTimeout),
+		RetryAllowance: uint32(object.Int("retryAllowance", 0, maxRetryAllowance, describer.DefaultRetryAllowance)),
+	}
+	crossRegion := object.OneOf("crossRegion", describer.CrossRegionNames[0], describer.CrossRegionNames...)
+	if crossRegion == describer.CrossRegionNames[describer.CrossNever] {
+		service.CrossRegion = describer.CrossNever
+	}
+	for _, element := range object.Elements("routes") {
+		service.Routes = append(service.Routes, ReadRoute(element, service.Routes))
+	}
+	return service
+}
+
+// ReadRoute reads one route and reports overlaps with earlier ones.
+func ReadRoute(element *parser.Node, earlier []describer.Route) describer.Route {
+	object := element.Object("name", "methods", "path", "criticality", "idempotent", "timeout")
+	object.Require("name", "path", "criticality", "idempotent")
+	route := describer.Route{
+		Name:       object.String("name", ""),
+		Path:       object.String("path", ""),
+		Idempotent: object.Bool("idempotent", false),
+		Timeout:    object.Duration("timeout", minTimeout, maxTimeout, describer.DefaultTimeout),
+	}
+	for _, method := range object.Elements("methods") {
+		route.Methods = append(route.Methods, readMethod(method))
+	}
+	name := object.OneOf("criticality", describer.CriticalityNames[describer.Normal], describer.CriticalityNames...)
+	if criticality, err := describer.ParseCriticality(name); err == nil {
+		route.Criticality = criticality
+	}
+	if field := object.Field("path"); field != nil && !strings.HasPrefix(route.Path, "/") {
+		field.Reportf("path is %q; want a path that starts with /", route.Path)
+	}
+	if field := object.Field("name"); field != nil && !namePattern.MatchString(route.Name) {
+		field.Reportf("name is %q; want lower case letters, digits and hyphens", route.Name)
+	}
+	for _, other := range earlier {
+		if route.Name != "" && route.Name == other.Name {
+			element.Reportf("route name %q appears twice", route.Name)
+		}
+		if route.Overlaps(other) {
+			element.Reportf("route %q overlaps route %q: both match %s", route.Name, other.Name, route.Path)
+		}
+	}
+	return route
+}
+
+func readMethod(node *parser.Node) string {
+	method := node.String()
+	if method == "" || method != strings.ToUpper(method) {
+		node.Reportf("method is %q; want an HTTP method in capitals", method)
+	}
+	return method
+}
--- /dev/null
+++ b/internal/version/follower/state.go
@@ -0,0 +1,194 @@
+package follower
+
+import (
+	"maps"
+	"slices"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/version/checker"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// maxVerdicts bounds the verdicts remembered for publishers.
+const maxVerdicts = 256
+
+// State is the result of replaying the settings stream up to Version. It is a
+// value: Apply and Restore return a new State and leave the old one intact.
+type State struct {
+	// Version is one more than the offset of the last record applied.
+	Version   int64
+	documents map[string]*encoder.Document
+	verdicts  []*encoder.Verdict
+	settings  *describer.Settings
+}
+
+// NewState returns the state before the first record.
+func NewState() State {
+	return State{
+		documents: make(map[string]*encoder.Document),
+		settings: &describer.Settings{
+			Services: make(map[describer.ServiceName]describer.Service),
+			Teams:    make(map[string]describer.Team),
+		},
+	}
+}
+
+// Settings returns the typed settings in force.
+func (s State) Settings() *describer.Settings {
+	return s.settings
+}
+
+// Document returns the document at path, or nil.
+func (s State) Document(path string) *encoder.Document {
+	return s.documents[path]
+}
+
+// Documents returns all documents sorted by path.
+func (s State) Documents() []*encoder.Document {
+	documents := slices.Collect(maps.Values(s.documents))
+	sort.Slice(documents, func(i, j int) bool {
+		return documents[i].GetPath() < documents[j].GetPath()
+	})
+	return documents
+}
+
+// Verdict returns what replay decided about a publication, or nil.
+func (s State) Verdict(publicationID string) *encoder.Verdict {
+	for _, verdict := range s.verdicts {
+		if verdict.GetPublicationId() == publicationID {
+			return verdict
+		}
+	}
+	return nil
+}
+
+// Apply replays the publication at offset, which must equal s.Version.
+//
+// A publication is accepted when it is based on the version in force of its
+// path and its document has no findings. Because versions only rise, a repeated
+// append of one publication can never be accepted twice.
+func (s State) Apply(offset int64, publication *encoder.Publication) State {
+	next := s
+	next.Version = offset + 1
+	next.settings = s.settings.Copy()
+	next.settings.Version = next.Version
+	if publication == nil || s.Verdict(publication.GetId()) != nil {
+		return next
+	}
+	verdict := &encoder.Verdict{
+		PublicationId: publication.GetId(),
+		Version:       next.Version,
+	}
+	document, detail := s.judge(publication)
+	verdict.Detail = detail
+	verdict.Accepted = detail == ""
+	next.verdicts = append(slices.Clone(s.verdicts), verdict)
+	if len(next.verdicts) > maxVerdicts {
+		next.verdicts = next.verdicts[len(next.verdicts)-maxVerdicts:]
+	}
+	if !verdict.Accepted {
+		return next
+	}
+	next.documents = maps.Clone(s.documents)
+	next.documents[publication.GetPath()] = &encoder.Document{
+		Path:          publication.GetPath(),
+		Version:       next.Version,
+		Content:       publication.GetDocument(),
+		Author:        publication.GetAuthor(),
+		TimeUnixNano:  publication.GetTimeUnixNano(),
+		PublicationId: publication.GetId(),
+	}
+	next.put(document)
+	return next
+}
+
+// judge returns the typed document, or why the publication is rejected.
+func (s State) judge(publication *encoder.Publication) (checker.Document, string) {
+	current := s.documents[publication.GetPath()].GetVersion()
+	if publication.GetBaseVersion() != current {
+		return checker.Document{}, conflictDetail(publication, s.documents[publication.GetPath()])
+	}
+	path, err := checker.ParsePath(publication.GetPath())
+	if err != nil {
+		return checker.Document{}, err.Error()
+	}
+	document, findings := checker.Check(publication.GetPath(), path, publication.GetDocument())
+	if len(findings) > 0 {
+		return checker.Document{}, findings.Error()
+	}
+	return document, ""
+}
+
+// put stores a typed document in s.settings, which must not be shared yet.
+func (s State) put(document checker.Document) {
+	if document.Service != nil {
+		s.settings.Services[document.Service.Name] = *document.Service
+	}
+	if document.Team != nil {
+		s.settings.Teams[document.Team.Name] = *document.Team
+	}
+}
+
+// Snapshot returns a snapshot of what changed since version; 0 means all.
+func (s State) Snapshot(since int64) *encoder.Snapshot {
+	snapshot := &encoder.Snapshot{
+		Covers: s.Version,
+		Base:   since,
+	}
+	for _, document := range s.Documents() {
+		if document.GetVersion() > since {
+			snapshot.Documents = append(snapshot.Documents, document)
+		}
+	}
+	for _, verdict := range s.verdicts {
+		if verdict.GetVersion() > since {
+			snapshot.Verdicts = append(snapshot.Verdicts, verdict)
+		}
+	}
+	return snapshot
+}
+
+// Restore returns the snapshot's state, or s when the snapshot is not newer,
+// starts after s, or has a document that this program cannot read.
+func (s State) Restore(snapshot *encoder.Snapshot) (State, error) {
+	if snapshot.GetCovers() <= s.Version || snapshot.GetBase() > s.Version {
+		return s, nil
+	}
+	next := NewState()
+	if snapshot.GetBase() > 0 {
+		next.documents = maps.Clone(s.documents)
+		next.verdicts = slices.Clone(s.verdicts)
+		next.settings = s.settings.Copy()
+	}
+	next.Version = snapshot.GetCovers()
+	next.settings.Version = next.Version
+	next.verdicts = append(next.verdicts, snapshot.GetVerdicts()...)
+	for _, document := range snapshot.GetDocuments() {
+		path, err := checker.ParsePath(document.GetPath())
+		if err != nil {
+			return s, err
+		}
+		typed, findings := checker.Check(document.GetPath(), path, document.GetContent())
+		if err := findings.Err(); err != nil {
+			return s, err
+		}
+		next.documents[document.GetPath()] = document
+		next.put(typed)
+	}
+	return next, nil
+}
+
+// DecodeRecord reads one record of the settings stream.
+func DecodeRecord(payload []byte) (*encoder.Record, error) {
+	record := &encoder.Record{}
+	if err := proto.Unmarshal(payload, record); err != nil {
+		return nil, err
+	}
+	if record.GetKind() == nil {
+		return nil, errEmptyRecord
+	}
+	return record, nil
+}
--- /dev/null
+++ b/internal/version/parser/parser.go
@@ -0,0 +1,366 @@
+// Package parser reads JSON with comments and reports every finding with its
+// file, line and column.
+//
+// # Usage
+//
+//	root, findings := parser.Parse("allot.jsonc", content)
+//	object := root.Object("slots", "routes")
+//	slots := object.Int("slots", 1, 100000, 64)
+//	if len(root.Findings()) > 0 { ... }
+package parser
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Finding is one fault in one settings file.
+type Finding struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Message string `json:"message"`
+}
+
+// String returns the finding as file:line:column: message.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Message)
+}
+
+// Findings is an error that holds all faults of one or more files.
+type Findings []Finding
+
+// Error implements error, one finding a line.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the findings as an error, or nil when there are none.
+func (f Findings) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+// Sort orders the findings by place.
+func (f Findings) Sort() {
+	sort.SliceStable(f, func(i, j int) bool {
+		if f[i].File != f[j].File {
+			return f[i].File < f[j].File
+		}
+		if f[i].Line != f[j].Line {
+			return f[i].Line < f[j].Line
+		}
+		return f[i].Column < f[j].Column
+	})
+}
+
+// document is the file a node belongs to and the findings made in it.
+type document struct {
+	file     string
+	content  []byte
+	findings Findings
+}
+
+// Node is one value of a parsed document.
+type Node struct {
+	doc   *document
+	value hujson.Value
+}
+
+// Parse parses content. On a syntax error it returns a nil Node and the
+// finding.
+func Parse(file string, content []byte) (*Node, Findings) {
+	doc := &document{
+		file:    file,
+		content: content,
+	}
+	value, err := hujson.Parse(content)
+	if err != nil {
+		doc.report(syntaxOffset(content, err), "syntax error: "+syntaxMessage(err))
+		return nil, doc.findings
+	}
+	return &Node{
+		doc:   doc,
+		value: value,
+	}, nil
+}
+
+// syntaxOffset recovers the byte offset from the library's "line %d, column %d".
+func syntaxOffset(content []byte, err error) int {
+	var line, column int
+	text := err.Error()
+	at := strings.Index(text, "line ")
+	if at < 0 {
+		return 0
+	}
+	if n, _ := fmt.Sscanf(text[at:], "line %d, column %d", &line, &column); n != 2 {
+		return 0
+	}
+	offset := 0
+	for ; line > 1; line-- {
+		next := bytes.IndexByte(content[offset:], '\n')
+		if next < 0 {
+			return offset
+		}
+		offset += next + 1
+	}
+	return min(offset+column-1, len(content))
+}
+
+func syntaxMessage(err error) string {
+	text := errors.UnwrapAll(err).Error()
+	text = strings.TrimPrefix(text, "hujson: ")
+	if _, rest, found := strings.Cut(text, ": "); found && strings.HasPrefix(text, "line ") {
+		return rest
+	}
+	return text
+}
+
+func (d *document) report(offset int, message string) {
+	before := d.content[:min(offset, len(d.content))]
+	d.findings = append(d.findings, Finding{
+		File:    d.file,
+		Line:    bytes.Count(before, []byte{'\n'}) + 1,
+		Column:  len(before) - bytes.LastIndexByte(before, '\n'),
+		Message: message,
+	})
+}
+
+// Findings returns all findings made in the node's document so far.
+func (n *Node) Findings() Findings {
+	return n.doc.findings
+}
+
+// Reportf adds a finding at the node's place.
+func (n *Node) Reportf(format string, args ...any) {
+	n.doc.report(n.value.StartOffset, fmt.Sprintf(format, args...))
+}
+
+// Object is a JSON object whose fields are read by name.
+type Object struct {
+	node   *Node
+	fields map[string]*Node
+}
+
+// Object reads the node as an object that has only the known fields.
+func (n *Node) Object(known ...string) Object {
+	object := Object{
+		node:   n,
+		fields: make(map[string]*Node),
+	}
+	parsed, ok := n.value.Value.(*hujson.Object)
+	if !ok {
+		n.Reportf("want an object, got %s", n.kind())
+		return object
+	}
+	for _, member := range parsed.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		key := &Node{
+			doc:   n.doc,
+			value: member.Name,
+		}
+		if !contains(known, name) {
+			key.Reportf("unknown field %q; known fields are %s", name, strings.Join(known, ", "))
+			continue
+		}
+		if object.fields[name] != nil {
+			key.Reportf("field %q appears twice", name)
+			continue
+		}
+		object.fields[name] = &Node{
+			doc:   n.doc,
+			value: member.Value,
+		}
+	}
+	return object
+}
+
+func contains(names []string, name string) bool {
+	for _, known := range names {
+		if known == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Field returns the named field, or nil when it is absent.
+func (o Object) Field(name string) *Node {
+	return o.fields[name]
+}
+
+// Require reports each named field that is absent.
+func (o Object) Require(names ...string) {
+	for _, name := range names {
+		if o.fields[name] == nil {
+			o.node.Reportf("field %q is missing", name)
+		}
+	}
+}
+
+// Elements returns the elements of the named array field.
+func (o Object) Elements(name string) []*Node {
+	field := o.fields[name]
+	if field == nil {
+		return nil
+	}
+	array, ok := field.value.Value.(*hujson.Array)
+	if !ok {
+		field.Reportf("want an array, got %s", field.kind())
+		return nil
+	}
+	nodes := make([]*Node, len(array.Elements))
+	for i, element := range array.Elements {
+		nodes[i] = &Node{
+			doc:   field.doc,
+			value: element,
+		}
+	}
+	return nodes
+}
+
+// String returns the named field, or fallback when it is absent.
+func (o Object) String(name, fallback string) string {
+	field := o.fields[name]
+	if field == nil {
+		return fallback
+	}
+	return field.String()
+}
+
+// String reads the node as a string.
+func (n *Node) String() string {
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		n.Reportf("want a string, got %s", n.kind())
+		return ""
+	}
+	return literal.String()
+}
+
+// OneOf returns the named field, which must be one of allowed.
+func (o Object) OneOf(name, fallback string, allowed ...string) string {
+	field := o.fields[name]
+	if field == nil {
+		return fallback
+	}
+	before := len(field.doc.findings)
+	text := field.String()
+	if len(field.doc.findings) == before && !contains(allowed, text) {
+		field.Reportf("%s is %q; want one of %s", name, text, strings.Join(allowed, ", "))
+	}
+	return text
+}
+
+// Int returns the named field, which must lie between low and high.
+func (o Object) Int(name string, low, high, fallback int64) int64 {
+	field := o.fields[name]
+	if field == nil {
+		return fallback
+	}
+	literal, ok := field.value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		field.Reportf("want a whole number, got %s", field.kind())
+		return fallback
+	}
+	number := literal.Int()
+	if number == 0 && string(literal) != "0" {
+		field.Reportf("%s is %s; want a whole number", name, literal)
+		return fallback
+	}
+	if number < low || number > high {
+		field.Reportf("%s is %d; want %d to %d", name, number, low, high)
+		return fallback
+	}
+	return number
+}
+
+// Bool returns the named field, or fallback when it is absent.
+func (o Object) Bool(name string, fallback bool) bool {
+	field := o.fields[name]
+	if field == nil {
+		return fallback
+	}
+	literal, ok := field.value.Value.(hujson.Literal)
+	if !ok || (literal.Kind() != 't' && literal.Kind() != 'f') {
+		field.Reportf("want true or false, got %s", field.kind())
+		return fallback
+	}
+	return literal.Bool()
+}
+
+// Duration returns the named field, written as in "250ms" or "2s".
+func (o Object) Duration(name string, low, high, fallback time.Duration) time.Duration {
+	field := o.fields[name]
+	if field == nil {
+		return fallback
+	}
+	before := len(field.doc.findings)
+	text := field.String()
+	if len(field.doc.findings) > before {
+		return fallback
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		field.Reportf("%s is %q; want a duration such as \"250ms\"", name, text)
+		return fallback
+	}
+	if duration < low || duration > high {
+		field.Reportf("%s is %s; want %s to %s", name, duration, low, high)
+		return fallback
+	}
+	return duration
+}
+
+// Address returns the named field, an IP address and port.
+func (o Object) Address(name string) netip.AddrPort {
+	field := o.fields[name]
+	if field == nil {
+		return netip.AddrPort{}
+	}
+	return field.Address()
+}
+
+// Address reads the node as an IP address and port.
+func (n *Node) Address() netip.AddrPort {
+	before := len(n.doc.findings)
+	text := n.String()
+	if len(n.doc.findings) > before {
+		return netip.AddrPort{}
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		n.Reportf("%q is not an address; want IP:port such as 127.0.0.1:7000", text)
+	}
+	return address
+}
+
+func (n *Node) kind() string {
+	switch n.value.Value.Kind() {
+	case 'n':
+		return "null"
+	case 't', 'f':
+		return "a boolean"
+	case '"':
+		return "a string"
+	case '0':
+		return "a number"
+	case '[':
+		return "an array"
+	default:
+		return "an object"
+	}
+}
