Drive the admission threshold by rates and the limit by trials

Cause: under a surge the layer answered 42% of capacity and never recovered. The limit was throughput times the shortest own service time, but a slot is held while the backend server waits for its own calls, so the limit collapsed. The threshold rose to what one window of 100 ms had admitted; with calls of 500 ms the windows after a burst admit nothing, so it overshot, and it fell in doubling steps below the point of balance: it swung with a period of 1.2 s.

Ruled out: the queue order and the retry rules, whose counters showed 0.4% retries and few evictions.

Now the limit grows while calls wait and is lowered on trial only when service times grew, and stays low only if the throughput does; the threshold follows the averaged arrivals above it against limit / call time.

Recovery of the first two seconds is bound by the clients' resends.

--- a/internal/replay/assembler/assembler.go
+++ b/internal/replay/assembler/assembler.go
@@ -209,15 +209,31 @@
 	return f.ledger
 }
 
-// Attempts implements driver.Fleet.
-func (f *Fleet) Attempts() (first, retries int64) {
+// recorders returns those of all nodes, stopped ones included.
+func (f *Fleet) recorders() []*recorder.Recorder {
 	f.mu.Lock()
-	recorders := append([]*recorder.Recorder(nil), f.retired...)
+	defer f.mu.Unlock()
+	list := append([]*recorder.Recorder(nil), f.retired...)
 	for _, n := range f.nodes {
-		recorders = append(recorders, n.recorder)
+		list = append(list, n.recorder)
 	}
-	f.mu.Unlock()
-	for _, r := range recorders {
+	return list
+}
+
+// Counters implements driver.Fleet.
+func (f *Fleet) Counters() map[string]int64 {
+	sum := make(map[string]int64)
+	for _, r := range f.recorders() {
+		for name, count := range r.Counters() {
+			sum[name] += count
+		}
+	}
+	return sum
+}
+
+// Attempts implements driver.Fleet.
+func (f *Fleet) Attempts() (first, retries int64) {
+	for _, r := range f.recorders() {
 		routed, retried := int64(0), int64(0)
 		for reason := range caller.Reason(caller.MaxReason + 1) {
 			routed += r.Count(recorder.Route, reason)
--- a/internal/replay/assembler/direct.go
+++ b/internal/replay/assembler/direct.go
@@ -72,6 +72,11 @@
 	return d.first, d.retries
 }
 
+// Counters implements driver.Fleet.
+func (d *Direct) Counters() map[string]int64 {
+	return nil
+}
+
 // Do implements driver.Fleet.
 func (d *Direct) Do(ctx context.Context, request driver.Request) driver.Result {
 	if !sleep(ctx, d.trace.Latency.Client) {
--- a/internal/replay/driver/driver.go
+++ b/internal/replay/driver/driver.go
@@ -55,6 +55,8 @@
 	Ledger() *responder.Ledger
 	// Attempts returns the first attempts and the retries of all nodes.
 	Attempts() (first, retries int64)
+	// Counters returns how often each decision was taken.
+	Counters() map[string]int64
 }
 
 // Window is the time of one bucket of the course.
@@ -62,11 +64,11 @@
 
 // Bucket counts the requests that arrived in one window.
 type Bucket struct {
-	Offered int
+	Offered int `json:"offered"`
 	// First counts those answered whole at the first try.
-	First int
+	First int `json:"first"`
 	// Whole counts the whole answers completed in the window.
-	Whole int
+	Whole int `json:"whole"`
 }
 
 // Class is the count of one arrival stream.
--- a/internal/replay/player/cmd_run.go
+++ b/internal/replay/player/cmd_run.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +35,7 @@
 	Scale    float64  `long:"scale" value-name:"FACTOR" default:"1" description:"Multiply all times of the course, for shorter runs"`
 	Without  []string `long:"without" value-name:"MECHANISM" description:"Also run with a mechanism off; 'each' means each in turn"`
 	OnlyWith bool     `long:"only-with" description:"Do not run without the layer"`
+	Counters bool     `long:"counters" description:"Also print how often each decision was taken"`
 	Args     struct {
 		Traces []string `positional-arg-name:"TRACE" required:"1"`
 	} `positional-args:"true"`
@@ -134,6 +137,12 @@
 		fmt.Fprintf(r.env.stderr, "%s, %s: %s of %s, last second: %d offered, %d answered whole\n",
 			p.trace.Name, p.variant, at.Round(time.Second), p.trace.Duration, offered, whole)
 	})
+	if r.Counters {
+		counters := fleet.Counters()
+		for _, name := range slices.Sorted(maps.Keys(counters)) {
+			fmt.Fprintf(r.env.stderr, "%s, %s: %s %d\n", p.trace.Name, p.variant, name, counters[name])
+		}
+	}
 	return reporter.New(p.trace, p.variant, outcome)
 }
 
--- a/internal/replay/reporter/reporter.go
+++ b/internal/replay/reporter/reporter.go
@@ -35,16 +35,18 @@
 	UnaffectedShare float64 `json:"unaffectedShare"`
 	// Recovery is the time from the trigger's end until the demand is answered
 	// again, or negative if that did not happen.
-	Recovery      time.Duration `json:"recovery"`
-	RunsPerWhole  float64       `json:"runsPerWhole"`
-	MaxRuns       int           `json:"maxRunsPerRequest"`
-	RetryShare    float64       `json:"retryShare"`
-	Duplicates    int64         `json:"duplicates"`
-	FalseNotRun   int           `json:"falseNotRun"`
-	Wrong         int           `json:"wrongAnswers"`
-	Median        time.Duration `json:"median"`
-	Percentile99  time.Duration `json:"percentile99"`
-	Failures      []string      `json:"failures"`
+	Recovery     time.Duration `json:"recovery"`
+	RunsPerWhole float64       `json:"runsPerWhole"`
+	MaxRuns      int           `json:"maxRunsPerRequest"`
+	RetryShare   float64       `json:"retryShare"`
+	Duplicates   int64         `json:"duplicates"`
+	FalseNotRun  int           `json:"falseNotRun"`
+	Wrong        int           `json:"wrongAnswers"`
+	Median       time.Duration `json:"median"`
+	Percentile99 time.Duration `json:"percentile99"`
+	Failures     []string      `json:"failures"`
+	// Course is the counts of each window.
+	Course        []driver.Bucket `json:"course"`
 	triggerLength time.Duration
 }
 
@@ -61,6 +63,7 @@
 		Wrong:         outcome.Wrong,
 		Median:        time.Duration(outcome.Latency.ValueAtPercentile(50)) * time.Microsecond,
 		Percentile99:  time.Duration(outcome.Latency.ValueAtPercentile(99)) * time.Microsecond,
+		Course:        outcome.Buckets,
 		triggerLength: bounds.TriggerTo - bounds.TriggerFrom,
 	}
 	report.addClasses(bounds, outcome.Classes)
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -6,9 +6,9 @@
 //
 //	a := admitter.New(admitter.Config{Slots: 110, MaxQueue: 64, QueueTimeout: 100 * time.Millisecond}, now)
 //	ticket := admitter.NewTicket(priority, hop, deadline, expected)
-//	settled := a.Arrive(now, ticket)
+//	a.Arrive(now, ticket)
 //	...
-//	settled = a.Done(now, ticket, serviceTime, failed)
+//	a.Done(now, ticket, route, waited, failed)
 package admitter
 
 import (
@@ -143,7 +143,8 @@
 // its verdict later.
 func (a *Admitter) Arrive(now time.Time, ticket *Ticket) {
 	ticket.arrived = now
-	a.threshold.Arrived(now, ticket.Priority)
+	a.threshold.Arrived(ticket.Priority)
+	a.roll(now)
 	if a.switches.NoCriticality {
 		ticket.Priority = caller.Priority(uint16(ticket.Priority) & 0xff)
 	}
@@ -185,14 +186,15 @@
 	victim.settle(caller.ReasonEvicted)
 }
 
-// Done releases the ticket's slot after the backend server finished. The
-// service time excludes what the call waited for calls of its own.
-func (a *Admitter) Done(now time.Time, service time.Duration, failed bool) {
+// Done releases the ticket's slot after the backend server finished. Waited is
+// the part of the time in which the call waited for calls of its own.
+func (a *Admitter) Done(now time.Time, ticket *Ticket, route string, waited time.Duration, failed bool) {
 	a.inFlight--
 	if failed {
 		a.limiter.Failed()
 	}
-	a.limiter.Done(now, service)
+	total := now.Sub(ticket.started)
+	a.limiter.Done(now, route, total-waited, total)
 	a.expire(now)
 	a.dispatch(now)
 }
@@ -211,15 +213,23 @@
 
 // Tick refuses queued calls whose time is over.
 func (a *Admitter) Tick(now time.Time) {
-	a.threshold.roll(now)
+	a.roll(now)
 	a.expire(now)
 	a.dispatch(now)
 }
 
+// roll moves the threshold with the capacity that limit and call time give.
+func (a *Admitter) roll(now time.Time) {
+	capacity := 0.0
+	if mean := a.limiter.MeanTotal(); mean > 0 {
+		capacity = float64(a.limiter.Limit()) / mean.Seconds()
+	}
+	a.threshold.Roll(now, capacity)
+}
+
 func (a *Admitter) start(now time.Time, ticket *Ticket) {
 	ticket.started = now
 	a.inFlight++
-	a.threshold.Started()
 	ticket.settle(caller.ReasonAdmitted)
 }
 
--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -10,48 +10,69 @@
 	// initialShare is the share of the slots a fresh limiter starts with.
 	initialShare = 0.5
 	minLimit     = 2
-	// headroom keeps the limit above the measured bandwidth-delay product, so
-	// that a growing capacity is noticed.
-	headroom = 1.3
-	// baselineAge is the time after which the shortest service time must be
-	// measured again.
-	baselineAge = 10 * time.Second
-	// probeShare is the share of the limit in use while measuring it.
-	probeShare = 0.6
-	minWindow  = 100 * time.Millisecond
-	// windowServices is the number of service times that a window spans.
-	windowServices = 3
+	growth       = 1.3
+	// trialShare is the share of the limit that a trial leaves in use.
+	trialShare = 0.8
+	// keptRate is the share of the throughput that a trial must keep for the
+	// lower limit to stay.
+	keptRate = 0.9
+	// tolerance is the growth of service times that is taken for noise.
+	tolerance = 1.5
+	// failedShare is what a window with overload failures leaves of the limit.
+	failedShare = 0.9
+	minWindow   = 100 * time.Millisecond
+	// windowTimes is the number of mean call times that a window spans.
+	windowTimes   = 2
+	minCompleted  = 10
+	baselineRise  = 1.002
+	maxRouteCount = 256
 )
 
 // Limiter finds the concurrency limit of one backend server from its own
-// observations: throughput times shortest service time, with headroom. Unlike
-// a limit that shrinks whenever latency grows, it leaves the limit of a server
-// alone whose calls became slow without competing for capacity.
+// observations.
 //
-// The service time excludes what the backend server waits for its own calls.
+// When calls wait and service times are normal, the limit grows. When service
+// times have grown, the limiter lowers the limit on trial: if the throughput
+// stays, the calls were competing for capacity and the lower limit is kept; if
+// it falls too, the calls became slow for another reason, so the limit returns
+// and the new service times count as normal.
+//
+// Service times exclude what the backend server waits for its own calls.
 type Limiter struct {
 	slots int
 	limit float64
 
 	windowStart time.Time
 	completed   int
-	shortest    time.Duration
+	total       time.Duration
+	observed    float64
+	expected    float64
 	saturated   bool
+	failed      bool
+	routes      map[string]*routeTimes
+
+	meanTotal time.Duration
+	trial     bool
+	// rateBefore and limitBefore are those before the trial.
+	rateBefore  float64
+	limitBefore float64
+}
 
-	baseline     time.Duration
-	baselineTime time.Time
-	rate         float64
-	probing      bool
-	failed       bool
+// routeTimes is the service time of one route.
+type routeTimes struct {
+	// baseline is the normal mean, in seconds.
+	baseline float64
+	sum      float64
+	count    int
 }
 
 // NewLimiter returns a limiter for a backend server with the given slots.
 func NewLimiter(slots int, now time.Time) *Limiter {
 	return &Limiter{
-		slots:        slots,
-		limit:        math.Max(minLimit, float64(slots)*initialShare),
-		windowStart:  now,
-		baselineTime: now,
+		slots:       slots,
+		limit:       math.Max(minLimit, float64(slots)*initialShare),
+		windowStart: now,
+		routes:      make(map[string]*routeTimes),
 	}
 }
 
@@ -63,12 +84,15 @@
 
 // Limit returns the number of calls that may run at once.
 func (l *Limiter) Limit() int {
-	if l.probing {
-		return max(int(l.limit*probeShare), minLimit)
-	}
 	return int(l.limit)
 }
 
+// MeanTotal returns the mean time that calls held their slots lately, or 0
+// before the first window.
+func (l *Limiter) MeanTotal() time.Duration {
+	return l.meanTotal
+}
+
 // Saturated notes that a call had to wait for the limit.
 func (l *Limiter) Saturated() {
 	l.saturated = true
@@ -79,56 +103,91 @@
 	l.failed = true
 }
 
-// Done notes one completed call and its service time.
-func (l *Limiter) Done(now time.Time, service time.Duration) {
-	l.completed++
-	if l.shortest == 0 || service < l.shortest {
-		l.shortest = service
+// Done notes one completed call: its route, the time the backend server itself
+// spent on it and the time it held its slot.
+func (l *Limiter) Done(now time.Time, route string, service, total time.Duration) {
+	times := l.routes[route]
+	if times == nil && len(l.routes) < maxRouteCount {
+		times = &routeTimes{}
+		l.routes[route] = times
 	}
-	if now.Sub(l.windowStart) >= l.window() {
-		l.update(now)
+	if times != nil {
+		times.sum += service.Seconds()
+		times.count++
+	}
+	l.completed++
+	l.total += total
+	elapsed := now.Sub(l.windowStart)
+	if l.completed >= minCompleted && elapsed >= minWindow && elapsed >= windowTimes*l.meanTotal {
+		l.update(elapsed)
+		l.windowStart = now
 	}
-}
-
-func (l *Limiter) window() time.Duration {
-	return max(minWindow, windowServices*l.baseline)
 }
 
 // update ends a window.
-func (l *Limiter) update(now time.Time) {
-	elapsed := now.Sub(l.windowStart).Seconds()
-	rate := float64(l.completed) / elapsed
-	expired := now.Sub(l.baselineTime) > baselineAge
-	switch {
-	case l.baseline == 0 || l.shortest <= l.baseline || l.probing || (expired && !l.saturated):
-		l.baseline = l.shortest
-		l.baselineTime = now
-		l.probing = false
-	case expired:
-		l.probing = true
-	}
+func (l *Limiter) update(elapsed time.Duration) {
+	rate := float64(l.completed) / elapsed.Seconds()
+	l.meanTotal = l.total / time.Duration(l.completed)
+	l.measure()
 	l.adjust(rate)
-	l.windowStart = now
 	l.completed = 0
-	l.shortest = 0
+	l.total = 0
 	l.saturated = false
 	l.failed = false
+	for _, times := range l.routes {
+		times.sum = 0
+		times.count = 0
+	}
+}
+
+// measure sums the service times of the window and those that would be normal,
+// and lowers the baselines to what was seen.
+func (l *Limiter) measure() {
+	l.observed, l.expected = 0, 0
+	for _, times := range l.routes {
+		if times.count == 0 {
+			continue
+		}
+		mean := times.sum / float64(times.count)
+		if times.baseline == 0 || mean < times.baseline {
+			times.baseline = mean
+		}
+		l.observed += times.sum
+		l.expected += times.baseline * float64(times.count)
+		// A slow rise forgets the luckiest window.
+		times.baseline *= baselineRise
+	}
 }
 
+// adjust sets the limit for the next window.
 func (l *Limiter) adjust(rate float64) {
-	if l.failed {
-		l.limit = l.clamp(l.limit * 0.9)
-		return
+	inflated := l.expected > 0 && l.observed > tolerance*l.expected
+	switch {
+	case l.trial:
+		l.endTrial(rate)
+	case l.failed:
+		l.limit = l.clamp(l.limit * failedShare)
+	case l.saturated && inflated:
+		l.trial = true
+		l.rateBefore = rate
+		l.limitBefore = l.limit
+		l.limit = l.clamp(l.limit * trialShare)
+	case l.saturated:
+		l.limit = l.clamp(l.limit*growth + 1)
 	}
-	if !l.saturated || l.probing {
+}
+
+func (l *Limiter) endTrial(rate float64) {
+	l.trial = false
+	if rate >= keptRate*l.rateBefore {
 		return
 	}
-	product := rate * l.baseline.Seconds() * headroom
-	if product >= l.limit {
-		l.limit = l.clamp(math.Min(product, l.limit*2))
-		return
+	l.limit = l.limitBefore
+	for _, times := range l.routes {
+		if times.count > 0 {
+			times.baseline = times.sum / float64(times.count)
+		}
 	}
-	l.limit = l.clamp(math.Max(product, l.limit*0.8))
 }
 
 func (l *Limiter) clamp(limit float64) float64 {
--- a/internal/request/admitter/threshold.go
+++ b/internal/request/admitter/threshold.go
@@ -9,52 +9,54 @@
 // Threshold parameters.
 const (
 	thresholdWindow = 100 * time.Millisecond
-	minStep         = 4
-	maxStep         = 128
-	// keptShare is the share of the capacity that the threshold leaves
-	// admitted while the target is overloaded.
-	keptShare = 1.05
+	// windowWeight is the weight of a new window in the moving averages.
+	windowWeight = 0.25
+	// raiseShare is the share of the capacity that arrivals above the threshold
+	// may use while the target is saturated.
+	raiseShare = 1.02
+	// lowerShare is the share of the capacity below which the threshold falls.
+	lowerShare = 0.97
+	// lowerGain is the part of the spare capacity given back in one window.
+	lowerGain = 0.3
+	// densityLevels is the number of levels above the threshold from which the
+	// demand below it is estimated.
+	densityLevels = 64
+	minStep       = 2
+	maxStep       = 48
 	// maxThreshold leaves the highest level of the highest criticality open.
 	maxThreshold = caller.PriorityLevels - 1
 )
 
-// Threshold finds the lowest priority that the target can serve. It rises to
-// what the arrivals of an overloaded window allow, and falls in growing steps
-// once the overload is over.
+// Threshold finds the lowest priority that the target can serve, so that the
+// arrivals above it match the capacity. It rises while the target is saturated
+// and falls, in proportion to the spare capacity, as soon as there is any.
 type Threshold struct {
-	value       caller.Priority
-	step        int
+	value       float64
 	windowStart time.Time
-	arrivals    [caller.PriorityLevels]uint32
-	total       uint32
-	admitted    uint32
-	shed        uint32
+	saturated   bool
+	arrivals    [caller.PriorityLevels]float64
+	// rates is the moving average of arrivals per window at each level.
+	rates [caller.PriorityLevels]float64
 }
 
 // Value returns the threshold; calls of lower priority are refused.
 func (t *Threshold) Value() caller.Priority {
-	return t.value
+	return caller.Priority(t.value)
 }
 
 // Arrived notes one call.
-func (t *Threshold) Arrived(now time.Time, priority caller.Priority) {
+func (t *Threshold) Arrived(priority caller.Priority) {
 	t.arrivals[min(priority, maxThreshold)]++
-	t.total++
-	t.roll(now)
-}
-
-// Started notes one call that got a slot.
-func (t *Threshold) Started() {
-	t.admitted++
 }
 
 // Shed notes one call that waited in vain or found the queue full.
 func (t *Threshold) Shed() {
-	t.shed++
+	t.saturated = true
 }
 
-// roll ends the window when it is over.
-func (t *Threshold) roll(now time.Time) {
+// Roll ends the window when it is over. Capacity is the calls per second that
+// the target can serve; 0 means that it is not known yet.
+func (t *Threshold) Roll(now time.Time, capacity float64) {
 	if t.windowStart.IsZero() {
 		t.windowStart = now
 	}
@@ -62,36 +64,64 @@
 	if elapsed < thresholdWindow {
 		return
 	}
-	if t.shed > 0 {
-		t.raise()
-	} else {
-		t.lower(elapsed)
+	t.average(elapsed)
+	perWindow := capacity * thresholdWindow.Seconds()
+	switch {
+	case capacity == 0:
+	case t.saturated:
+		t.raise(perWindow * raiseShare)
+	default:
+		t.lower(perWindow*lowerShare, elapsed)
 	}
 	t.windowStart = now
-	t.arrivals = [caller.PriorityLevels]uint32{}
-	t.total = 0
-	t.admitted = 0
-	t.shed = 0
+	t.saturated = false
+}
+
+// average takes the window's arrivals into the moving averages. A window that
+// lasted longer counts as several.
+func (t *Threshold) average(elapsed time.Duration) {
+	windows := float64(elapsed) / float64(thresholdWindow)
+	weight := min(windowWeight*windows, 1)
+	for level := range t.rates {
+		t.rates[level] += weight * (t.arrivals[level]/windows - t.rates[level])
+		t.arrivals[level] = 0
+	}
 }
 
-// raise sets the threshold so that the window's arrivals at or above it match
-// what was admitted.
-func (t *Threshold) raise() {
-	t.step = minStep
-	keep := uint32(float64(t.admitted)*keptShare) + 1
-	sum := uint32(0)
-	for level := maxThreshold; level >= 0; level-- {
-		sum += t.arrivals[level]
-		if sum > keep {
-			t.value = max(t.value, min(caller.Priority(level+1), maxThreshold))
+// raise sets the threshold to the level above which arrivals fit the capacity,
+// if that is higher.
+func (t *Threshold) raise(capacity float64) {
+	sum := 0.0
+	for level := maxThreshold; level >= int(t.value); level-- {
+		sum += t.rates[level]
+		if sum > capacity {
+			t.value = float64(min(level+1, maxThreshold))
 			return
 		}
 	}
 }
 
-func (t *Threshold) lower(elapsed time.Duration) {
-	for ; elapsed >= thresholdWindow && t.value > 0; elapsed -= thresholdWindow {
-		t.step = min(max(t.step, minStep)*2, maxStep)
-		t.value -= min(t.value, caller.Priority(t.step))
+// lower gives back part of the spare capacity.
+func (t *Threshold) lower(capacity float64, elapsed time.Duration) {
+	if t.value == 0 {
+		return
+	}
+	above, near := 0.0, 0.0
+	from := int(t.value)
+	for level := from; level <= maxThreshold; level++ {
+		above += t.rates[level]
+		if level < from+densityLevels {
+			near += t.rates[level]
+		}
+	}
+	spare := capacity - above
+	if spare <= 0 {
+		return
+	}
+	step := float64(maxStep)
+	if near > 0 {
+		step = lowerGain * spare * densityLevels / near
 	}
+	windows := max(1, float64(elapsed/thresholdWindow))
+	t.value = max(0, t.value-min(max(step, minStep), maxStep)*windows)
 }
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -82,7 +82,8 @@
 			return
 		}
 		a.parent.Pool.Return(a.grant.Left())
-		a.parent.ChildEnded(time.Now(), a.path)
+		failed := answer.Outcome != caller.Answered || answer.Status >= 500
+		a.parent.ChildEnded(time.Now(), failed, a.path)
 	}
 	if answer.Body == nil {
 		settle()
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -341,7 +341,7 @@
 	answer.Body = &closeOnce{
 		ReadCloser: answer.Body,
 		onClose: func() {
-			release(failed && answer.PathThreshold == 0)
+			release(failed && !inbound.ChildFailed())
 		},
 	}
 	if entry != nil {
@@ -362,7 +362,7 @@
 	total := now.Sub(ticket.Started())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.admitter.Done(now, total-inbound.Waited(now), failed)
+	e.admitter.Done(now, ticket, call.Route, inbound.Waited(now), failed)
 	e.learn(call.Route, total)
 }
 
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -378,7 +378,7 @@
 	}
 	score := (busy + 1) / limit
 	if r.slow(now, target, median) {
-		score += 1
+		score++
 	}
 	if share := r.ramp(now, target); share < 1 {
 		score /= share
--- a/internal/request/tracker/tracker.go
+++ b/internal/request/tracker/tracker.go
@@ -27,6 +27,7 @@
 	since     time.Time
 	waited    time.Duration
 	threshold caller.Priority
+	failed    bool
 }
 
 // ChildStarted notes the start of a call made for this one.
@@ -39,9 +40,9 @@
 	i.children++
 }
 
-// ChildEnded notes the end of a call made for this one and the highest
-// admission threshold on its path.
-func (i *Inbound) ChildEnded(now time.Time, threshold caller.Priority) {
+// ChildEnded notes the end of a call made for this one, whether it failed and
+// the highest admission threshold on its path.
+func (i *Inbound) ChildEnded(now time.Time, failed bool, threshold caller.Priority) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.children--
@@ -49,6 +50,7 @@
 		i.waited += now.Sub(i.since)
 	}
 	i.threshold = max(i.threshold, threshold)
+	i.failed = i.failed || failed
 }
 
 // Waited returns the time during which at least one child call was open.
@@ -61,6 +63,14 @@
 	return i.waited
 }
 
+// ChildFailed reports whether a call made for this one failed, so that a failure
+// of this one says nothing about the local backend server.
+func (i *Inbound) ChildFailed() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.failed
+}
+
 // PathThreshold returns the highest admission threshold met below this call.
 func (i *Inbound) PathThreshold() caller.Priority {
 	i.mu.Lock()
