--- a/internal/replay/player/cmd_backend.go
+++ b/internal/replay/player/cmd_backend.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -37,12 +36,8 @@
 
 // Execute implements flags.Commander.
 func (b *backendRun) Execute([]string) error {
-	content, err := os.ReadFile(b.Trace)
+	trace, err := tracer.ReadFile(b.Trace)
 	if err != nil {
-		return errors.Wrap(err, "read trace")
-	}
-	trace, findings := tracer.Parse(b.Trace, content)
-	if err := findings.Err(); err != nil {
 		return err
 	}
 	name, err := describer.ParseServiceName(b.Service)
--- a/internal/replay/player/cmd_run.go
+++ b/internal/replay/player/cmd_run.go
@@ -55,11 +55,11 @@
 	var reports []reporter.Report
 	missed := false
 	for _, name := range r.Args.Traces {
-		trace, err := r.read(name)
+		trace, err := tracer.ReadFile(name)
 		if err != nil {
 			return err
 		}
-		plans, err := r.plans(trace)
+		plans, err := r.plans(trace.Scale(r.Scale))
 		if err != nil {
 			return err
 		}
@@ -78,18 +78,6 @@
 	return nil
 }
 
-func (r *replayRun) read(name string) (*tracer.Trace, error) {
-	content, err := os.ReadFile(name)
-	if err != nil {
-		return nil, errors.Wrap(err, "read trace")
-	}
-	trace, findings := tracer.Parse(name, content)
-	if err := findings.Err(); err != nil {
-		return nil, err
-	}
-	return trace.Scale(r.Scale), nil
-}
-
 // plans returns the runs of a trace; the first one is judged.
 func (r *replayRun) plans(trace *tracer.Trace) ([]plan, error) {
 	plans := []plan{layerPlan(trace, "with the layer", assembler.Switches{})}
--- a/internal/replay/tracer/parse.go
+++ b/internal/replay/tracer/parse.go
@@ -1,8 +1,12 @@
 package tracer
 
 import (
+	"os"
+	"path/filepath"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/laburnumshelf/laburnumshelf/internal/version/checker"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/parser"
@@ -16,20 +20,62 @@
 	thousand   = 1000
 )
 
-// Parse reads a trace; file names it in findings.
-func Parse(file string, content []byte) (*Trace, parser.Findings) {
+// ReadFile reads a trace and the fleet file it names, which lies beside it.
+func ReadFile(name string) (*Trace, error) {
+	content, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "read trace")
+	}
+	trace, fleet, findings := Parse(name, content)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	fleetName := filepath.Join(filepath.Dir(name), fleet)
+	if content, err = os.ReadFile(fleetName); err != nil {
+		return nil, errors.Wrap(err, "read the trace's fleet")
+	}
+	findings = parseFleet(fleetName, content, trace)
+	return trace, findings.Err()
+}
+
+// Parse reads a trace without its fleet and returns the fleet file's name; file
+// names the trace in findings.
+func Parse(file string, content []byte) (*Trace, string, parser.Findings) {
 	root, findings := parser.Parse(file, content)
 	if root == nil {
-		return nil, findings
+		return nil, "", findings
 	}
-	object := root.Object("name", "summary", "seed", "duration", "regions", "latency", "services", "arrivals", "phases", "faults", "outcomes")
-	object.Require("name", "duration", "regions", "services", "arrivals")
+	object := root.Object("name", "summary", "seed", "duration", "fleet", "phases", "faults", "outcomes")
+	object.Require("name", "duration", "fleet")
 	trace := &Trace{
 		Name:     object.String("name", ""),
 		Summary:  object.String("summary", ""),
 		Seed:     uint64(object.Int("seed", 0, 1<<62, 1)),
 		Duration: object.Duration("duration", time.Second, maxTime, time.Minute),
 	}
+	for _, element := range object.Elements("phases") {
+		trace.Phases = append(trace.Phases, readPhase(element))
+	}
+	for _, element := range object.Elements("faults") {
+		trace.Faults = append(trace.Faults, readFault(element))
+	}
+	if field := object.Field("outcomes"); field != nil {
+		trace.Outcomes = readOutcomes(field)
+	}
+	fleet := object.String("fleet", "")
+	findings = root.Findings()
+	findings.Sort()
+	return trace, fleet, findings
+}
+
+// parseFleet reads places, services and arrivals into the trace.
+func parseFleet(file string, content []byte, trace *Trace) parser.Findings {
+	root, findings := parser.Parse(file, content)
+	if root == nil {
+		return findings
+	}
+	object := root.Object("regions", "latency", "services", "arrivals")
+	object.Require("regions", "services", "arrivals")
 	for _, element := range object.Elements("regions") {
 		trace.Regions = append(trace.Regions, readRegion(element))
 	}
@@ -42,19 +88,10 @@
 	for _, element := range object.Elements("arrivals") {
 		trace.Arrivals = append(trace.Arrivals, readArrival(element))
 	}
-	for _, element := range object.Elements("phases") {
-		trace.Phases = append(trace.Phases, readPhase(element))
-	}
-	for _, element := range object.Elements("faults") {
-		trace.Faults = append(trace.Faults, readFault(element))
-	}
-	if field := object.Field("outcomes"); field != nil {
-		trace.Outcomes = readOutcomes(field)
-	}
 	checkReferences(root, trace)
 	findings = root.Findings()
 	findings.Sort()
-	return trace, findings
+	return findings
 }
 
 // checkReferences reports services that the trace uses but does not have.
--- a/internal/replay/tracer/tracer.go
+++ b/internal/replay/tracer/tracer.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	trace, findings := tracer.Parse("county-surge.jsonc", content)
+//	trace, err := tracer.ReadFile("traces/county-surge.jsonc")
 package tracer
 
 import (
