Isolate routes below which a service became slow; let critical calls wait longer

Cause (slow deep service): critical calls were lost in the first second of the slowness, because the queue timeout stayed at 100 ms while slots came free once a second, and the limiter lowered the limit on a trial whose windows mixed fast and slow calls.

Now the call time is also estimated from the age of running calls, critical calls may wait as long as a call takes, a trial compares settled windows only, a fresh limiter trusts the announced slots, and a bulkhead holds a route whose own calls became slow to 1.25 times its usual share of a nearly full target. Suspected members and targets that leave calls unanswered are avoided. A 503 whose cause is a refusal for overload below is not retried.

--- a/internal/replay/player/variant.go
+++ b/internal/replay/player/variant.go
@@ -17,6 +17,7 @@
 	{name: "criticality", apply: func(s *assembler.Switches) { s.Admitter.NoCriticality = true }},
 	{name: "expiry", apply: func(s *assembler.Switches) { s.Admitter.NoExpiry = true }},
 	{name: "newestFirst", apply: func(s *assembler.Switches) { s.Admitter.NoNewestFirst = true }},
+	{name: "bulkhead", apply: func(s *assembler.Switches) { s.Admitter.NoBulkhead = true }},
 	{name: "earlyRefusal", apply: func(s *assembler.Switches) { s.Dispatcher.NoEarlyRefusal = true }},
 	{name: "retryAllowance", apply: func(s *assembler.Switches) { s.Dispatcher.NoRetryAllowance = true }},
 	{name: "retryBudget", apply: func(s *assembler.Switches) { s.Dispatcher.NoRetryBudget = true }},
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -5,16 +5,17 @@
 // # Usage
 //
 //	a := admitter.New(admitter.Config{Slots: 110, MaxQueue: 64, QueueTimeout: 100 * time.Millisecond}, now)
-//	ticket := admitter.NewTicket(priority, hop, deadline, expected)
+//	ticket := admitter.NewTicket(route, priority, hop, deadline, expected)
 //	a.Arrive(now, ticket)
 //	...
-//	a.Done(now, ticket, route, waited, failed)
+//	a.Done(now, ticket, waited, failed)
 package admitter
 
 import (
 	"time"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 )
 
 // Config is the settings of one target's admission.
@@ -32,10 +33,12 @@
 	NoCriticality bool
 	NoExpiry      bool
 	NoNewestFirst bool
+	NoBulkhead    bool
 }
 
 // Ticket is one call that asks for a slot.
 type Ticket struct {
+	Route    string
 	Priority caller.Priority
 	Hop      uint32
 	Deadline time.Time
@@ -48,8 +51,9 @@
 }
 
 // NewTicket returns a ticket that has no verdict yet.
-func NewTicket(priority caller.Priority, hop uint32, deadline time.Time, expected time.Duration) *Ticket {
+func NewTicket(route string, priority caller.Priority, hop uint32, deadline time.Time, expected time.Duration) *Ticket {
 	return &Ticket{
+		Route:    route,
 		Priority: priority,
 		Hop:      hop,
 		Deadline: deadline,
@@ -63,6 +67,11 @@
 	return t.started
 }
 
+// Age returns the time since the ticket arrived.
+func (t *Ticket) Age(now time.Time) time.Duration {
+	return now.Sub(t.arrived)
+}
+
 // Waited returns the time the ticket spent in the queue.
 func (t *Ticket) Waited() time.Duration {
 	return t.started.Sub(t.arrived)
@@ -94,8 +103,13 @@
 	switches  Switches
 	limiter   *Limiter
 	threshold Threshold
+	bulkhead  *Bulkhead
 	queue     []*Ticket
 	inFlight  int
+	// startedSum is the sum of the start times of running calls, in seconds
+	// since epoch.
+	startedSum float64
+	epoch      time.Time
 	// overloadedUntil keeps the newest-first order for a while after the last
 	// call was shed.
 	overloadedUntil time.Time
@@ -109,7 +123,9 @@
 	return &Admitter{
 		config:   config,
 		switches: switches,
+		epoch:    now,
 		limiter:  NewLimiter(config.Slots, now),
+		bulkhead: NewBulkhead(),
 	}
 }
 
@@ -143,7 +159,6 @@
 // its verdict later.
 func (a *Admitter) Arrive(now time.Time, ticket *Ticket) {
 	ticket.arrived = now
-	a.threshold.Arrived(ticket.Priority)
 	a.roll(now)
 	if a.switches.NoCriticality {
 		ticket.Priority = caller.Priority(uint16(ticket.Priority) & 0xff)
@@ -153,6 +168,11 @@
 		ticket.settle(caller.ReasonHopeless)
 		return
 	}
+	if a.exceeded(now, ticket) {
+		ticket.settle(caller.ReasonBulkhead)
+		return
+	}
+	a.threshold.Arrived(ticket.Priority)
 	if a.inFlight < a.limit() && len(a.queue) == 0 {
 		a.start(now, ticket)
 		return
@@ -166,6 +186,23 @@
 	a.dispatch(now)
 }
 
+// exceeded reports whether the ticket's route has become slow and holds more
+// than its part of a target that is nearly full. Critical calls are exempt.
+func (a *Admitter) exceeded(now time.Time, ticket *Ticket) bool {
+	if a.switches.NoBulkhead || ticket.Priority.Criticality() >= describer.Critical {
+		return false
+	}
+	if float64(a.inFlight) < bulkheadShare*float64(a.limit()) {
+		return false
+	}
+	return a.bulkhead.Exceeded(ticket.Route, a.seconds(now))
+}
+
+// seconds returns a time in seconds since the admitter's epoch.
+func (a *Admitter) seconds(now time.Time) float64 {
+	return now.Sub(a.epoch).Seconds()
+}
+
 func (a *Admitter) enqueue(now time.Time, ticket *Ticket) {
 	a.queue = append(a.queue, ticket)
 	if len(a.queue) <= a.config.MaxQueue {
@@ -188,13 +225,15 @@
 
 // Done releases the ticket's slot after the backend server finished. Waited is
 // the part of the time in which the call waited for calls of its own.
-func (a *Admitter) Done(now time.Time, ticket *Ticket, route string, waited time.Duration, failed bool) {
+func (a *Admitter) Done(now time.Time, ticket *Ticket, waited time.Duration, failed bool) {
 	a.inFlight--
+	a.startedSum -= a.seconds(ticket.started)
 	if failed {
 		a.limiter.Failed()
 	}
 	total := now.Sub(ticket.started)
-	a.limiter.Done(now, route, total-waited, total)
+	a.limiter.Done(now, ticket.Route, total-waited, total)
+	a.bulkhead.Done(ticket.Route, a.seconds(ticket.started), total, waited)
 	a.expire(now)
 	a.dispatch(now)
 }
@@ -221,14 +260,17 @@
 // roll moves the threshold with the capacity that limit and call time give.
 func (a *Admitter) roll(now time.Time) {
 	capacity := 0.0
-	if mean := a.limiter.MeanTotal(); mean > 0 {
+	if mean := a.callTime(now); mean > 0 {
 		capacity = float64(a.limiter.Limit()) / mean.Seconds()
 	}
 	a.threshold.Roll(now, capacity)
+	a.bulkhead.Roll(now, a.seconds(now))
 }
 
 func (a *Admitter) start(now time.Time, ticket *Ticket) {
 	ticket.started = now
+	a.startedSum += a.seconds(now)
+	a.bulkhead.Started(ticket.Route, a.seconds(now))
 	a.inFlight++
 	ticket.settle(caller.ReasonAdmitted)
 }
@@ -251,6 +293,32 @@
 	}
 }
 
+// waitShare is the share of the call time that a call of each criticality may
+// wait where that is longer than the configured timeout: slots of slow calls
+// become free rarely, and important calls are worth a slot upstream meanwhile.
+var waitShare = [...]float64{0, 0.05, 0.1, 1}
+
+// ageFactor turns the mean age of running calls into a cautious estimate of
+// their whole time, which is twice the mean age in a steady state.
+const ageFactor = 1.5
+
+// callTime estimates how long calls hold their slots now. The age of running
+// calls shows a sudden slowness before the first slow call has ended.
+func (a *Admitter) callTime(now time.Time) time.Duration {
+	mean := a.limiter.MeanTotal()
+	if a.inFlight == 0 {
+		return mean
+	}
+	age := a.seconds(now) - a.startedSum/float64(a.inFlight)
+	return max(mean, time.Duration(ageFactor*age*float64(time.Second)))
+}
+
+// QueueTimeout returns how long the call may wait for a slot now.
+func (a *Admitter) QueueTimeout(now time.Time, ticket *Ticket) time.Duration {
+	share := waitShare[min(int(ticket.Priority.Criticality()), len(waitShare)-1)]
+	return max(a.config.QueueTimeout, time.Duration(share*float64(a.callTime(now))))
+}
+
 // expire refuses queued calls that waited too long.
 func (a *Admitter) expire(now time.Time) {
 	if a.switches.NoExpiry {
@@ -258,7 +326,11 @@
 	}
 	for i := len(a.queue) - 1; i >= 0; i-- {
 		ticket := a.queue[i]
-		if now.Sub(ticket.arrived) < a.config.QueueTimeout && !a.hopeless(now, ticket) {
+		waited := now.Sub(ticket.arrived)
+		if waited >= a.config.QueueTimeout {
+			a.threshold.Saturated()
+		}
+		if waited < a.QueueTimeout(now, ticket) && !a.hopeless(now, ticket) {
 			continue
 		}
 		a.remove(i)
@@ -276,7 +348,7 @@
 }
 
 func (a *Admitter) shed(now time.Time) {
-	a.threshold.Shed()
+	a.threshold.Saturated()
 	a.overloadedUntil = now.Add(overloadMemory)
 }
 
--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -7,15 +7,16 @@
 
 // Limiter parameters.
 const (
-	// initialShare is the share of the slots a fresh limiter starts with.
-	initialShare = 0.5
-	minLimit     = 2
-	growth       = 1.3
+	minLimit = 2
+	growth   = 1.3
 	// trialShare is the share of the limit that a trial leaves in use.
-	trialShare = 0.8
+	trialShare = 0.75
 	// keptRate is the share of the throughput that a trial must keep for the
 	// lower limit to stay.
 	keptRate = 0.9
+	// stableShare bounds the change of the mean call time between two windows
+	// that can be compared.
+	stableShare = 0.25
 	// tolerance is the growth of service times that is taken for noise.
 	tolerance = 1.5
 	// failedShare is what a window with overload failures leaves of the limit.
@@ -52,12 +53,25 @@
 	routes      map[string]*routeTimes
 
 	meanTotal time.Duration
-	trial     bool
+	// steady tells that the mean call time of the last window was that of the
+	// one before.
+	steady bool
+	trial  trialPhase
 	// rateBefore and limitBefore are those before the trial.
 	rateBefore  float64
 	limitBefore float64
 }
 
+// trialPhase is how far a trial of a lower limit is.
+type trialPhase uint8
+
+const (
+	noTrial trialPhase = iota
+	// settling waits until the calls admitted before the trial have ended.
+	settling
+	measuring
+)
+
 // routeTimes is the service time of one route.
 type routeTimes struct {
 	// baseline is the normal mean, in seconds.
@@ -66,11 +80,12 @@
 	count    int
 }
 
-// NewLimiter returns a limiter for a backend server with the given slots.
+// NewLimiter returns a limiter for a backend server that announced slots, which
+// it trusts until the first trial.
 func NewLimiter(slots int, now time.Time) *Limiter {
 	return &Limiter{
 		slots:       slots,
-		limit:       math.Max(minLimit, float64(slots)*initialShare),
+		limit:       math.Max(minLimit, float64(slots)),
 		windowStart: now,
 		routes:      make(map[string]*routeTimes),
 	}
@@ -118,7 +133,8 @@
 	l.completed++
 	l.total += total
 	elapsed := now.Sub(l.windowStart)
-	if l.completed >= minCompleted && elapsed >= minWindow && elapsed >= windowTimes*l.meanTotal {
+	mean := l.total / time.Duration(l.completed)
+	if l.completed >= minCompleted && elapsed >= minWindow && elapsed >= windowTimes*mean {
 		l.update(elapsed)
 		l.windowStart = now
 	}
@@ -127,7 +143,10 @@
 // update ends a window.
 func (l *Limiter) update(elapsed time.Duration) {
 	rate := float64(l.completed) / elapsed.Seconds()
-	l.meanTotal = l.total / time.Duration(l.completed)
+	mean := l.total / time.Duration(l.completed)
+	change := math.Abs(float64(mean - l.meanTotal))
+	l.steady = change <= stableShare*float64(l.meanTotal)
+	l.meanTotal = mean
 	l.measure()
 	l.adjust(rate)
 	l.completed = 0
@@ -163,22 +182,24 @@
 func (l *Limiter) adjust(rate float64) {
 	inflated := l.expected > 0 && l.observed > tolerance*l.expected
 	switch {
-	case l.trial:
+	case l.trial == settling:
+		l.trial = measuring
+	case l.trial == measuring:
 		l.endTrial(rate)
 	case l.failed:
 		l.limit = l.clamp(l.limit * failedShare)
-	case l.saturated && inflated:
-		l.trial = true
+	case l.saturated && inflated && l.steady:
+		l.trial = settling
 		l.rateBefore = rate
 		l.limitBefore = l.limit
 		l.limit = l.clamp(l.limit * trialShare)
-	case l.saturated:
+	case l.saturated && !inflated:
 		l.limit = l.clamp(l.limit*growth + 1)
 	}
 }
 
 func (l *Limiter) endTrial(rate float64) {
-	l.trial = false
+	l.trial = noTrial
 	if rate >= keptRate*l.rateBefore {
 		return
 	}
--- a/internal/request/admitter/threshold.go
+++ b/internal/request/admitter/threshold.go
@@ -49,8 +49,8 @@
 	t.arrivals[min(priority, maxThreshold)]++
 }
 
-// Shed notes one call that waited in vain or found the queue full.
-func (t *Threshold) Shed() {
+// Saturated notes a call that waited for long or found the queue full.
+func (t *Threshold) Saturated() {
 	t.saturated = true
 }
 
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -86,6 +86,7 @@
 	ReasonAdmitted
 	ReasonQueued
 	ReasonTooDeep
+	ReasonBulkhead
 )
 
 // MaxReason is the highest reason value that fits the counters of a node; newer
@@ -98,7 +99,7 @@
 	"tokenNeeded", "tokenExpired", "incarnation", "tombstone", "tokenTableFull", "bodyBroken",
 	"timeout", "canceled", "earlyOverload", "unknownService", "badRequest", "replayed", "nearest",
 	"spill", "leastLoaded", "tokenTarget", "connectionLost", "bodyTooLarge", "admitted", "queued",
-	"tooDeep",
+	"tooDeep", "bulkhead",
 }
 
 // String returns the written name.
@@ -112,7 +113,7 @@
 // Overload reports whether the reason is a shortage of capacity at the target.
 func (r Reason) Overload() bool {
 	switch r {
-	case ReasonOverload, ReasonQueueFull, ReasonQueueTimeout, ReasonEvicted, ReasonHopeless, ReasonEarlyOverload:
+	case ReasonOverload, ReasonQueueFull, ReasonQueueTimeout, ReasonEvicted, ReasonHopeless, ReasonEarlyOverload, ReasonBulkhead:
 		return true
 	default:
 		return false
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -138,8 +138,10 @@
 	a.d.budget(a.call.Service).Attempted()
 	for {
 		answer := a.attempt(ctx)
-		if answer.Reason != caller.ReasonNoTarget {
-			a.path = max(a.path, answer.PathThreshold, answer.Load.Threshold)
+		a.path = max(a.path, answer.PathThreshold, answer.Load.Threshold)
+		if answer.Reason.Overload() {
+			// The failure it causes above is not worth a retry there.
+			a.path = max(a.path, 1)
 		}
 		next, reason := a.next(ctx, answer)
 		if !next {
@@ -291,7 +293,7 @@
 		constraints.CrossRegion = false
 		target, reason = a.d.router.Choose(now, a.call.Service, constraints)
 	}
-	if !a.d.router.Known(a.call.Service) {
+	if target == nil && !a.d.router.Known(a.call.Service) && !a.d.config.Settings().Has(a.call.Service) {
 		return nil, caller.ReasonUnknownService
 	}
 	return target, reason
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -199,7 +199,7 @@
 func (d *Dispatcher) send(ctx context.Context, target *router.Target, call *caller.Call) (*caller.Answer, error) {
 	started := time.Now()
 	d.mu.Lock()
-	d.router.Started(target)
+	d.router.Started(started, target)
 	d.mu.Unlock()
 	answer, err := d.config.Transport.Call(ctx, target.Member, call)
 	now := time.Now()
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -241,6 +241,10 @@
 		e.settleRefusal(entry)
 	}
 	answer := e.refuse(call, caller.NotRun, reason)
+	if reason == caller.ReasonBulkhead {
+		// The route's callers should refuse what is no more important.
+		answer.PathThreshold = call.Priority + 1
+	}
 	if entry != nil {
 		answer.Successor = entry.Successor()
 	}
@@ -277,7 +281,7 @@
 		e.mu.Unlock()
 		return nil, caller.ReasonLeaving
 	}
-	ticket := admitter.NewTicket(call.Priority, call.Hop, call.Deadline, e.expected[call.Route])
+	ticket := admitter.NewTicket(call.Route, call.Priority, call.Hop, call.Deadline, e.expected[call.Route])
 	e.admitter.Arrive(time.Now(), ticket)
 	e.mu.Unlock()
 	select {
@@ -289,8 +293,7 @@
 }
 
 func (e *Executor) wait(ctx context.Context, ticket *admitter.Ticket) caller.Reason {
-	timeout := e.config.Settings().Service(e.config.Service).QueueTimeout
-	timer := time.NewTimer(timeout)
+	timer := time.NewTimer(e.queueTimeout(ticket))
 	defer timer.Stop()
 	for {
 		select {
@@ -300,13 +303,22 @@
 			e.mu.Lock()
 			e.admitter.Tick(time.Now())
 			e.mu.Unlock()
-			timer.Reset(timeout)
+			timer.Reset(e.queueTimeout(ticket))
 		case <-ctx.Done():
 			return e.abandon(ticket)
 		}
 	}
 }
 
+// queueTimeout returns the time after which to look at a queued ticket again.
+func (e *Executor) queueTimeout(ticket *admitter.Ticket) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	const leastWait = 10 * time.Millisecond
+	return max(leastWait, e.admitter.QueueTimeout(now, ticket)-ticket.Age(now))
+}
+
 // abandon gives up a ticket whose caller is gone.
 func (e *Executor) abandon(ticket *admitter.Ticket) caller.Reason {
 	e.mu.Lock()
@@ -362,7 +374,7 @@
 	total := now.Sub(ticket.Started())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.admitter.Done(now, ticket, call.Route, inbound.Waited(now), failed)
+	e.admitter.Done(now, ticket, inbound.Waited(now), failed)
 	e.learn(call.Route, total)
 }
 
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -6,7 +6,7 @@
 //	r := router.New(router.Config{Zone: "ol-kalou-1", Region: "ol-kalou"}, rng)
 //	r.Update(now, members)
 //	target, reason := r.Choose(now, service, router.Constraints{})
-//	r.Started(target)
+//	r.Started(now, target)
 //	r.Finished(now, target, router.Observation{Latency: d, Load: load})
 package router
 
@@ -32,6 +32,10 @@
 	slowFactor = 3
 	// slowMargin is the least difference that marks a target as slow.
 	slowMargin = 20 * time.Millisecond
+	// stallFactor and stallMargin bound the silence of a target that has
+	// unanswered attempts.
+	stallFactor = 3
+	stallMargin = 300 * time.Millisecond
 	// latencyAge is the time after which an unused latency no longer counts.
 	latencyAge = 5 * time.Second
 	minSamples = 10
@@ -68,7 +72,10 @@
 type Target struct {
 	Member *encoder.Member
 
-	inFlight    int
+	inFlight int
+	// busySince is when the target last answered or got its first unanswered
+	// attempt.
+	busySince   time.Time
 	latency     time.Duration
 	latencyTime time.Time
 	samples     int
@@ -305,7 +312,7 @@
 	g.scratch = g.scratch[:0]
 	ejected := 0
 	for _, target := range g.targets {
-		if target.Ejected(now) {
+		if avoided(now, target) {
 			ejected++
 		}
 	}
@@ -316,7 +323,7 @@
 		if target.Member.GetState() == encoder.MemberState_LEAVING || target.load.Leaving {
 			continue
 		}
-		if honorEjection && target.Ejected(now) {
+		if honorEjection && avoided(now, target) {
 			continue
 		}
 		if !constraints.CrossRegion && r.tierOf(target) == otherRegion {
@@ -329,6 +336,11 @@
 	}
 }
 
+// avoided reports whether the target is ejected or suspected by the members.
+func avoided(now time.Time, target *Target) bool {
+	return target.Ejected(now) || target.Member.GetState() == encoder.MemberState_SUSPECT
+}
+
 // better returns the better of two random candidates of a tier.
 func (r *Router) better(now time.Time, candidates []*Target, level tier, median time.Duration) (*Target, float64) {
 	var first, second *Target
@@ -377,7 +389,7 @@
 		busy = max(busy, float64(target.load.InFlight+target.load.Queued))
 	}
 	score := (busy + 1) / limit
-	if r.slow(now, target, median) {
+	if r.slow(now, target, median) || r.stalled(now, target) {
 		score++
 	}
 	if share := r.ramp(now, target); share < 1 {
@@ -393,6 +405,14 @@
 	return target.latency > slowFactor*median && target.latency > median+slowMargin
 }
 
+// stalled reports whether the target leaves attempts unanswered for long.
+func (r *Router) stalled(now time.Time, target *Target) bool {
+	if r.config.Switches.NoSlowness || target.inFlight == 0 {
+		return false
+	}
+	return now.Sub(target.busySince) > max(stallMargin, stallFactor*target.latency)
+}
+
 // ramp returns the share of its normal load that a new target takes. A target
 // is new only to a node that already knew others.
 func (r *Router) ramp(now time.Time, target *Target) float64 {
@@ -419,7 +439,10 @@
 }
 
 // Started notes the start of an attempt.
-func (r *Router) Started(target *Target) {
+func (r *Router) Started(now time.Time, target *Target) {
+	if target.inFlight == 0 {
+		target.busySince = now
+	}
 	target.inFlight++
 }
 
@@ -427,6 +450,7 @@
 func (r *Router) Finished(now time.Time, target *Target, seen Observation) {
 	target.inFlight--
 	if seen.Load != nil {
+		target.busySince = now
 		target.load = *seen.Load
 		target.loadTime = now
 	}
--- a/internal/version/describer/describer.go
+++ b/internal/version/describer/describer.go
@@ -224,6 +224,15 @@
 	return DefaultService(name)
 }
 
+// Has reports whether the named service has settings of its own.
+func (s *Settings) Has(name ServiceName) bool {
+	if s == nil {
+		return false
+	}
+	_, ok := s.Services[name]
+	return ok
+}
+
 // Team returns the settings of the named team, or defaults.
 func (s *Settings) Team(name string) Team {
 	if s != nil {
