--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -96,12 +96,14 @@
 // Table is the member list of one node. It is not safe for concurrent use; its
 // owner holds one lock around every method.
 type Table struct {
-	config   Config
-	self     *entry
-	members  map[string]*entry
-	ids      []string
-	order    []string
-	pending  map[string]*entry
+	config  Config
+	self    *entry
+	members map[string]*entry
+	ids     []string
+	order   []string
+	pending map[string]*entry
+	// troubled are the suspected and dead members.
+	troubled map[string]*entry
 	probes   map[uint64]*probe
 	backlog  map[netip.AddrPort][]*encoder.Member
 	contacts []netip.AddrPort
@@ -120,11 +122,12 @@
 // New returns a table that knows only its own node.
 func New(config Config) *Table {
 	t := &Table{
-		config:  config,
-		members: make(map[string]*entry),
-		pending: make(map[string]*entry),
-		probes:  make(map[uint64]*probe),
-		backlog: make(map[netip.AddrPort][]*encoder.Member),
+		config:   config,
+		members:  make(map[string]*entry),
+		pending:  make(map[string]*entry),
+		troubled: make(map[string]*entry),
+		probes:   make(map[uint64]*probe),
+		backlog:  make(map[netip.AddrPort][]*encoder.Member),
 	}
 	t.self = t.store(time.Time{}, proto.Clone(config.Self).(*encoder.Member))
 	t.broadcast(t.self)
@@ -216,6 +219,11 @@
 	e.since = now
 	e.address, _ = netip.ParseAddrPort(member.GetPeerAddress())
 	t.digests[bucket(id)] ^= digest(member)
+	if state := member.GetState(); state == encoder.MemberState_SUSPECT || state == encoder.MemberState_DEAD {
+		t.troubled[id] = e
+	} else {
+		delete(t.troubled, id)
+	}
 	t.changes = append(t.changes, member)
 	return e
 }
@@ -226,6 +234,7 @@
 	t.digests[bucket(id)] ^= digest(e.member)
 	delete(t.members, id)
 	delete(t.pending, id)
+	delete(t.troubled, id)
 	for i := range t.ids {
 		if t.ids[i] == id {
 			t.ids[i] = t.ids[len(t.ids)-1]
--- a/internal/process/gossiper/receive.go
+++ b/internal/process/gossiper/receive.go
@@ -16,10 +16,12 @@
 	if err != nil || sender.GetId() == "" || sender.GetId() == t.self.member.GetId() {
 		return nil
 	}
-	stale := t.merge(now, sender)
+	stale := t.merge(now, sender, true)
+	// What a peer sends from its table is not news to the others.
+	news := packet.GetKind() != encoder.PacketKind_SYNC || !packet.GetAnswer() || len(packet.GetDigests()) > 0
 	for _, update := range packet.GetUpdates() {
 		if update.GetId() != "" {
-			stale = append(stale, t.merge(now, update)...)
+			stale = append(stale, t.merge(now, update, news)...)
 		}
 	}
 	switch packet.GetKind() {
@@ -40,29 +42,30 @@
 	}
 }
 
-// merge takes one update. When what this node knows is newer, it returns that
-// for the sender.
-func (t *Table) merge(now time.Time, update *encoder.Member) []*encoder.Member {
+// merge takes one update, and passes it on if it is news. When what this node
+// knows is newer, it returns that for the sender.
+func (t *Table) merge(now time.Time, update *encoder.Member, news bool) []*encoder.Member {
 	if update.GetId() == t.self.member.GetId() {
 		t.refute(now, update)
 		return nil
 	}
 	known := t.members[update.GetId()]
-	if known == nil {
-		if update.GetState() == encoder.MemberState_DEAD {
-			return nil
-		}
-		t.broadcast(t.store(now, update))
+	switch {
+	case known == nil && update.GetState() == encoder.MemberState_DEAD:
 		return nil
-	}
-	if newer(update, known.member) {
-		t.broadcast(t.store(now, update))
+	case known == nil || newer(update, known.member):
+		stored := t.store(now, update)
+		if news {
+			t.broadcast(stored)
+		} else {
+			delete(t.pending, update.GetId())
+		}
 		return nil
-	}
-	if newer(known.member, update) {
+	case newer(known.member, update):
 		return []*encoder.Member{known.member}
+	default:
+		return nil
 	}
-	return nil
 }
 
 // refute answers a claim about this node itself that is not its own.
@@ -169,8 +172,13 @@
 				size += proto.Size(list[n]) + 4
 				n++
 			}
-			packet := t.packet(encoder.PacketKind_SYNC, nil)
-			packet.Updates = list[:n:n]
+			packet := &encoder.Packet{
+				Kind:            encoder.PacketKind_SYNC,
+				Sender:          t.self.member,
+				SettingsVersion: uint64(t.version),
+				Answer:          true,
+				Updates:         list[:n:n],
+			}
 			list = list[n:]
 			out = append(out, Outgoing{
 				To:     to,
--- a/internal/process/gossiper/tick.go
+++ b/internal/process/gossiper/tick.go
@@ -123,7 +123,7 @@
 
 // expire declares suspected members dead and forgets those dead for long.
 func (t *Table) expire(now time.Time) {
-	for id, e := range t.members {
+	for id, e := range t.troubled {
 		switch e.member.GetState() {
 		case encoder.MemberState_SUSPECT:
 			if now.Sub(e.since) >= suspectTime {
--- a/internal/process/synchronizer/synchronizer.go
+++ b/internal/process/synchronizer/synchronizer.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,8 +32,6 @@
 	// fallbackPeriod is the time between two reads of the other nodes.
 	fallbackPeriod = time.Minute
 	requestTimeout = 5 * time.Second
-	// snapshotRecords is the number of records after which a snapshot is due.
-	snapshotRecords = 200
 	// snapshotWait bounds the random wait before writing a snapshot.
 	snapshotWait = 20 * time.Second
 )
@@ -59,6 +58,8 @@
 type Synchronizer struct {
 	config Config
 	offers chan offer
+	// snapshotting is set while a snapshot waits to be written.
+	snapshotting atomic.Bool
 }
 
 // New returns a Synchronizer.
@@ -145,7 +146,7 @@
 		}
 	}
 	s.changed(before, "log")
-	if s.config.Follower.SinceSnapshot() >= snapshotRecords && s.Reader() {
+	if s.config.Follower.SnapshotDue(time.Now()) && s.Reader() && s.snapshotting.CompareAndSwap(false, true) {
 		go s.snapshot(ctx)
 	}
 }
@@ -185,12 +186,13 @@
 
 // snapshot appends a snapshot record unless another node does so first.
 func (s *Synchronizer) snapshot(ctx context.Context) {
+	defer s.snapshotting.Store(false)
 	select {
 	case <-ctx.Done():
 		return
 	case <-time.After(rand.N(snapshotWait)):
 	}
-	if s.config.Follower.SinceSnapshot() < snapshotRecords {
+	if !s.config.Follower.SnapshotDue(time.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
--- a/internal/request/admitter/bulkhead.go
+++ b/internal/request/admitter/bulkhead.go
@@ -13,7 +13,10 @@
 	normalWeight = 0.05
 	// slowAge is the mean age of running calls, as a share of the normal call
 	// time, from which a route counts as slow; half is usual.
-	slowAge        = 0.75
+	slowAge = 0.75
+	// refusalMemory is the number of seconds after a refusal in which the normal
+	// number of calls stays, so that it does not grow with what is let through.
+	refusalMemory  = 5.0
 	baselineWindow = time.Second
 	// waitingShare is the least share of its time that a route spends waiting
 	// for its own calls, if these are to be the cause of its slowness.
@@ -41,6 +44,9 @@
 	sum      float64
 	waited   float64
 	count    int
+	// frozenUntil is until when normal stays as it is, in seconds since the
+	// epoch.
+	frozenUntil float64
 	// waits tells that the route spends its time waiting for its own calls.
 	waits bool
 }
@@ -97,7 +103,11 @@
 // Exceeded reports whether a slow route holds more than its part.
 func (b *Bulkhead) Exceeded(name string, at float64) bool {
 	load := b.route(name)
-	return load.waits && load.slow(at) && float64(load.inFlight) >= normalFactor*load.normal
+	if !load.waits || !load.slow(at) || float64(load.inFlight) < normalFactor*load.normal {
+		return false
+	}
+	load.frozenUntil = at + refusalMemory
+	return true
 }
 
 // Roll takes a window into what is usual.
@@ -111,7 +121,7 @@
 		b.baselineAt = now
 	}
 	for _, load := range b.routes {
-		if !load.slow(at) {
+		if !load.slow(at) && at >= load.frozenUntil {
 			load.normal += normalWeight * (float64(load.inFlight) - load.normal)
 		}
 		if renew {
--- /dev/null
+++ b/internal/request/router/router_test.go
@@ -0,0 +1,196 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+var (
+	start = time.Unix(1_800_000_000, 0)
+	allot = describer.ServiceName{Team: "county", Name: "allot"}
+)
+
+// newRouter returns a router in zone z1 of region r1 that knows targets in the
+// given zones, each written as region and zone.
+func newRouter(places ...[2]string) *Router {
+	r := New(Config{Zone: "z1", Region: "r1"}, rand.New(rand.NewPCG(1, 2)))
+	for i, place := range places {
+		r.Update(start, memberAt(i, place))
+	}
+	return r
+}
+
+func memberAt(i int, place [2]string) *encoder.Member {
+	return &encoder.Member{
+		Id:          fmt.Sprint("t", i),
+		Incarnation: uint64(start.Add(-time.Hour).UnixNano()),
+		Region:      place[0],
+		Zone:        place[1],
+		Team:        allot.Team,
+		Service:     allot.Name,
+		Slots:       10,
+	}
+}
+
+var near, sameRegionPlace, far = [2]string{"r1", "z1"}, [2]string{"r1", "z2"}, [2]string{"r2", "z1"}
+
+// share returns how often each target is chosen in n choices without answers
+// in between.
+func share(r *Router, now time.Time, n int, constraints Constraints) map[string]int {
+	counts := make(map[string]int)
+	for range n {
+		if target, _ := r.Choose(now, allot, constraints); target != nil {
+			counts[target.Member.GetId()]++
+		}
+	}
+	return counts
+}
+
+func report(r *Router, now time.Time, id string, load caller.Load) {
+	target := r.Target(id)
+	r.Started(now, target)
+	r.Finished(now, target, Observation{Latency: 10 * time.Millisecond, Load: &load})
+}
+
+func TestNearTargetsFirstThenSpill(t *testing.T) {
+	r := newRouter(far, sameRegionPlace, near)
+	if got := share(r, start, 100, Constraints{CrossRegion: true}); got["t2"] != 100 {
+		t.Errorf("idle targets: got %v, want all to t2 in the same zone", got)
+	}
+	report(r, start, "t2", caller.Load{InFlight: 10, Limit: 10})
+	if got := share(r, start, 100, Constraints{CrossRegion: true}); got["t1"] != 100 {
+		t.Errorf("zone busy: got %v, want all to t1 in the same region", got)
+	}
+	report(r, start, "t1", caller.Load{InFlight: 10, Limit: 10})
+	if got := share(r, start, 100, Constraints{CrossRegion: true}); got["t0"] != 100 {
+		t.Errorf("region busy: got %v, want all to t0 in the other region", got)
+	}
+	if got := share(r, start, 100, Constraints{}); got["t0"] != 0 {
+		t.Errorf("crossing not allowed: got %v, want none to t0", got)
+	}
+}
+
+func TestOwnAttemptsOutrankOldReports(t *testing.T) {
+	r := newRouter(near, near)
+	report(r, start, "t0", caller.Load{InFlight: 0, Limit: 10})
+	report(r, start, "t1", caller.Load{InFlight: 5, Limit: 10})
+	for range 9 {
+		r.Started(start, r.Target("t0"))
+	}
+	if got := share(r, start, 100, Constraints{}); got["t1"] != 100 {
+		t.Errorf("t0 reports idle but holds 9 of our attempts: got %v, want all to t1", got)
+	}
+}
+
+func TestFailuresEjectWithinTheBound(t *testing.T) {
+	r := newRouter(near, near, near, near)
+	for _, id := range []string{"t0", "t1"} {
+		for range ejectFailures {
+			r.Started(start, r.Target(id))
+			r.Finished(start, r.Target(id), Observation{Failed: true})
+		}
+	}
+	if got := share(r, start, 200, Constraints{}); got["t0"]+got["t1"] != 0 {
+		t.Errorf("two of four ejected: got %v, want none to them", got)
+	}
+	for range ejectFailures {
+		r.Started(start, r.Target("t2"))
+		r.Finished(start, r.Target("t2"), Observation{Failed: true})
+	}
+	if got := share(r, start, 400, Constraints{}); len(got) != 4 {
+		t.Errorf("three of four failing: got %v, want ejection ignored", got)
+	}
+	if got := share(r, start.Add(2*ejectBase), 400, Constraints{}); len(got) != 4 {
+		t.Errorf("after the ejection: got %v, want all four", got)
+	}
+}
+
+func TestSlowAndStalledTargetsAreAvoided(t *testing.T) {
+	r := newRouter(near, near, near)
+	for i := range 3 {
+		latency := 20 * time.Millisecond
+		if i == 0 {
+			latency = 400 * time.Millisecond
+		}
+		for range 2 * minSamples {
+			target := r.Target(fmt.Sprint("t", i))
+			r.Started(start, target)
+			r.Finished(start, target, Observation{Latency: latency, Load: &caller.Load{Limit: 10}})
+		}
+	}
+	if got := share(r, start, 300, Constraints{}); got["t0"] > 0 {
+		t.Errorf("t0 twenty times slower: got %v, want none to it", got)
+	}
+	r.Started(start, r.Target("t1"))
+	if got := share(r, start.Add(time.Second), 300, Constraints{}); got["t1"] > 0 {
+		t.Errorf("t1 silent for 1 s: got %v, want none to it", got)
+	}
+}
+
+func TestLeavingAndSuspectedTargets(t *testing.T) {
+	r := newRouter(near, near, near, near)
+	for i, state := range map[int]encoder.MemberState{0: encoder.MemberState_LEAVING, 1: encoder.MemberState_SUSPECT, 2: encoder.MemberState_DEAD} {
+		member := memberAt(i, near)
+		member.State = state
+		r.Update(start, member)
+	}
+	if got := share(r, start, 100, Constraints{}); got["t3"] != 100 {
+		t.Errorf("got %v, want all to t3", got)
+	}
+	if got := share(r, start, 100, Constraints{Exclude: []string{"t3"}}); got["t1"] != 100 {
+		t.Errorf("only the suspected one left: got %v, want all to t1", got)
+	}
+}
+
+func TestNewTargetTakesItsShareSlowly(t *testing.T) {
+	r := newRouter(near)
+	now := start.Add(time.Minute)
+	fresh := memberAt(1, near)
+	fresh.Incarnation = uint64(now.UnixNano())
+	r.Update(now, fresh)
+	// The old target is busy but usable; the new one is idle but cold.
+	report(r, now, "t0", caller.Load{InFlight: 4, Limit: 10})
+	if got := share(r, now, 100, Constraints{}); got["t0"] != 100 {
+		t.Errorf("new target at once: got %v, want all to t0", got)
+	}
+	later := now.Add(slowStart)
+	report(r, later, "t0", caller.Load{InFlight: 4, Limit: 10})
+	if got := share(r, later, 100, Constraints{}); got["t1"] != 100 {
+		t.Errorf("new target after its slow start: got %v, want all to t1", got)
+	}
+}
+
+func TestRestartedTargetStartsAfresh(t *testing.T) {
+	r := newRouter(near)
+	r.Started(start, r.Target("t0"))
+	restarted := memberAt(0, near)
+	restarted.Incarnation++
+	r.Update(start, restarted)
+	if got := r.Target("t0").InFlight(); got != 0 {
+		t.Errorf("got %d in flight at the new incarnation, want 0", got)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, targets := range []int{8, 32, 128} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			places := make([][2]string, targets)
+			for i := range places {
+				places[i] = [...][2]string{near, sameRegionPlace, far}[i%3]
+			}
+			r := newRouter(places...)
+			b.ReportAllocs()
+			for b.Loop() {
+				target, _ := r.Choose(start, allot, Constraints{CrossRegion: true})
+				r.Started(start, target)
+				r.Finished(start, target, Observation{Latency: time.Millisecond, Load: &caller.Load{Limit: 10}})
+			}
+		})
+	}
+}
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -17,6 +17,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -51,6 +52,7 @@
 	// across a gap that retention left.
 	cursor       int64
 	lastSnapshot int64
+	snapshotTime time.Time
 	badRecords   int64
 	state        State
 	changed      chan struct{}
@@ -60,9 +62,10 @@
 // source.
 func New(log logclient.Log) *Follower {
 	return &Follower{
-		log:     log,
-		state:   NewState(),
-		changed: make(chan struct{}),
+		log:          log,
+		state:        NewState(),
+		changed:      make(chan struct{}),
+		snapshotTime: time.Now(),
 	}
 }
 
@@ -117,11 +120,31 @@
 	return f.cursor < batch.Next && len(batch.Records) > 0, nil
 }
 
-// SinceSnapshot returns the number of records read since the last snapshot.
-func (f *Follower) SinceSnapshot() int64 {
+// Behind reports whether records were read that cannot be applied, because the
+// log no longer retains what came before them.
+func (f *Follower) Behind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cursor - f.lastSnapshot
+	return f.cursor > f.state.Version
+}
+
+// Snapshot schedule.
+const (
+	// snapshotRecords is the number of records after which a snapshot is due.
+	snapshotRecords = 200
+	// snapshotAge is the age at which a snapshot is due again even without
+	// changes, so that retention by age never passes the last one.
+	snapshotAge = 30 * time.Minute
+)
+
+// SnapshotDue reports whether a new snapshot record should be written.
+func (f *Follower) SnapshotDue(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state.Version == 0 || f.cursor > f.state.Version {
+		return false
+	}
+	return f.cursor-f.lastSnapshot >= snapshotRecords || now.Sub(f.snapshotTime) >= snapshotAge
 }
 
 // WriteSnapshot appends the state in force as a snapshot record.
@@ -148,6 +171,7 @@
 	f.cursor = max(f.cursor, raw.Offset+1)
 	if snapshot := record.GetSnapshot(); snapshot != nil {
 		f.lastSnapshot = raw.Offset + 1
+		f.snapshotTime = raw.Time
 		before := f.state.Version
 		if raw.Offset > before && f.restore(snapshot) != nil {
 			f.badRecords++
--- a/internal/version/publisher/publisher.go
+++ b/internal/version/publisher/publisher.go
@@ -29,6 +29,9 @@
 // ErrConflict marks a change that lost against another one.
 var ErrConflict = errors.New("the change was not accepted")
 
+// ErrGap reports records that the log no longer retains and no snapshot covers.
+var ErrGap = errors.New("the log no longer retains earlier settings and has no snapshot of them; start a node that still has them, it writes one")
+
 // maxAppends bounds the appends of one publication.
 const maxAppends = 8
 
@@ -44,19 +47,8 @@
 // Publish appends the change and returns its verdict. The error is marked
 // ErrConflict when replay rejected it.
 func Publish(ctx context.Context, log logclient.Log, change Change) (*encoder.Verdict, error) {
-	publication := &encoder.Publication{
-		Id:           uuid.NewString(),
-		Path:         change.Path,
-		BaseVersion:  change.BaseVersion,
-		Document:     change.Document,
-		Author:       change.Author,
-		TimeUnixNano: time.Now().UnixNano(),
-	}
-	payload, err := proto.Marshal(&encoder.Record{
-		Kind: &encoder.Record_Publication{
-			Publication: publication,
-		},
-	})
+	publication := newPublication(change)
+	payload, err := proto.Marshal(newRecord(publication))
 	if err != nil {
 		return nil, errors.Wrap(err, "encode publication")
 	}
@@ -72,10 +64,32 @@
 	return verdict, nil
 }
 
+func newPublication(change Change) *encoder.Publication {
+	return &encoder.Publication{
+		Id:           uuid.NewString(),
+		Path:         change.Path,
+		BaseVersion:  change.BaseVersion,
+		Document:     change.Document,
+		Author:       change.Author,
+		TimeUnixNano: time.Now().UnixNano(),
+	}
+}
+
+func newRecord(publication *encoder.Publication) *encoder.Record {
+	return &encoder.Record{
+		Kind: &encoder.Record_Publication{
+			Publication: publication,
+		},
+	}
+}
+
 // appendOnce looks for the publication first, so that an earlier append whose
 // answer was lost is found instead of repeated.
 func appendOnce(ctx context.Context, log logclient.Log, id string, payload []byte) (*encoder.Verdict, error) {
 	state, err := Load(ctx, log)
+	if errors.Is(err, ErrGap) {
+		return nil, backoff.Permanent(err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -104,6 +118,9 @@
 		if err != nil {
 			return follower.State{}, err
 		}
+		if !more && f.Behind() {
+			return follower.State{}, ErrGap
+		}
 		if !more {
 			return f.State(), nil
 		}
