--- /dev/null
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -0,0 +1,323 @@
+package acceptor
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/dialer"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// callsFunc runs calls with a function.
+type callsFunc func(ctx context.Context, call *caller.Call) *caller.Answer
+
+func (f callsFunc) Execute(ctx context.Context, call *caller.Call) *caller.Answer {
+	return f(ctx, call)
+}
+
+// pipeListener is an in-memory listener.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (p *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-p.conns:
+		return conn, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipeListener) Close() error {
+	p.once.Do(func() { close(p.done) })
+	return nil
+}
+
+func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// silentConn swallows what is written once it is silenced.
+type silentConn struct {
+	net.Conn
+	silenced *atomic.Bool
+}
+
+func (s *silentConn) Write(p []byte) (int, error) {
+	if s.silenced.Load() {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
+
+// pair is a dialer and an acceptor joined in memory.
+type pair struct {
+	dialer *dialer.Dialer
+	dials  atomic.Int64
+	// silence makes the connections opened so far silent for good.
+	silence  func()
+	breakAll func()
+}
+
+var peer = &encoder.Member{Id: "t", PeerAddress: "127.0.0.1:1"}
+
+func newPair(t *testing.T, calls callsFunc) *pair {
+	t.Helper()
+	p := &pair{}
+	listener := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	a := New(Config{Calls: calls, Settings: follower.NewState})
+	go a.Serve(listener)
+	var mu sync.Mutex
+	var open []net.Conn
+	var flags []*atomic.Bool
+	p.dialer = dialer.New(dialer.Config{
+		Silence: 100 * time.Millisecond,
+		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+			p.dials.Add(1)
+			near, far := net.Pipe()
+			silenced := &atomic.Bool{}
+			mu.Lock()
+			defer mu.Unlock()
+			open = append(open, near)
+			flags = append(flags, silenced)
+			listener.conns <- &silentConn{Conn: far, silenced: silenced}
+			return &silentConn{Conn: near, silenced: silenced}, nil
+		},
+	})
+	p.silence = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, flag := range flags {
+			flag.Store(true)
+		}
+	}
+	p.breakAll = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, conn := range open {
+			conn.Close()
+		}
+	}
+	t.Cleanup(func() {
+		p.dialer.Close()
+		listener.Close()
+		a.Close()
+	})
+	return p
+}
+
+func (p *pair) call(ctx context.Context, id string, body io.Reader) (*caller.Answer, error) {
+	kept, err := caller.NewBody(body)
+	if err != nil {
+		return nil, err
+	}
+	return p.dialer.Call(ctx, peer, &caller.Call{
+		CallID:   id,
+		Method:   "POST",
+		Path:     "/",
+		Deadline: time.Now().Add(10 * time.Second),
+		Body:     kept,
+	})
+}
+
+func answerWith(body io.Reader) *caller.Answer {
+	return &caller.Answer{Status: 200, Body: io.NopCloser(body)}
+}
+
+// echoes answers with the call's own ID and body.
+func echoes(_ context.Context, call *caller.Call) *caller.Answer {
+	time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
+	return answerWith(io.MultiReader(bytes.NewReader([]byte(call.CallID+":")), call.Body.Reader()))
+}
+
+func TestManyCallsGetTheirOwnWholeAnswers(t *testing.T) {
+	p := newPair(t, echoes)
+	var group sync.WaitGroup
+	for i := range 100 {
+		group.Go(func() {
+			body := bytes.Repeat([]byte{byte(i)}, i*2000)
+			id := string(rune('a'+i%26)) + string(rune('a'+i/26))
+			answer, err := p.call(t.Context(), id, bytes.NewReader(body))
+			if err != nil {
+				t.Errorf("call %d: %v", i, err)
+				return
+			}
+			defer answer.Close()
+			got, err := io.ReadAll(answer.Body)
+			if want := append([]byte(id+":"), body...); err != nil || !bytes.Equal(got, want) {
+				t.Errorf("call %d: got %d bytes, %v, want its own %d", i, len(got), err, len(want))
+			}
+		})
+	}
+	group.Wait()
+}
+
+// brokenReader ends with an error after its bytes.
+type brokenReader struct {
+	io.Reader
+}
+
+func (b brokenReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errors.New("backend server went away")
+	}
+	return n, err
+}
+
+func TestBrokenAnswerIsNeverWhole(t *testing.T) {
+	for name, size := range map[string]int{"small": 10, "large": 1 << 20} {
+		p := newPair(t, func(context.Context, *caller.Call) *caller.Answer {
+			return answerWith(brokenReader{bytes.NewReader(make([]byte, size))})
+		})
+		answer, err := p.call(t.Context(), "x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(answer.Body); !errors.Is(err, encoder.ErrBodyBroken) {
+			t.Errorf("%s body: got %v, want ErrBodyBroken", name, err)
+		}
+		answer.Close()
+	}
+}
+
+func TestLostConnectionBreaksTheBody(t *testing.T) {
+	release := make(chan struct{})
+	p := newPair(t, func(context.Context, *caller.Call) *caller.Answer {
+		pr, pw := io.Pipe()
+		go func() {
+			pw.Write(make([]byte, 100_000))
+			<-release
+			pw.Close()
+		}()
+		return answerWith(pr)
+	})
+	defer close(release)
+	answer, err := p.call(t.Context(), "x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Close()
+	io.ReadFull(answer.Body, make([]byte, 1000))
+	p.breakAll()
+	if _, err := io.ReadAll(answer.Body); err == nil {
+		t.Error("connection lost in the body: got no error, want one")
+	}
+}
+
+func TestBrokenRequestBodyIsNotRun(t *testing.T) {
+	ran := atomic.Bool{}
+	p := newPair(t, func(_ context.Context, call *caller.Call) *caller.Answer {
+		if _, err := io.ReadAll(call.Body.Reader()); err == nil {
+			ran.Store(true)
+		}
+		return caller.Refuse(caller.Unknown, caller.ReasonBodyBroken)
+	})
+	body := brokenReader{bytes.NewReader(make([]byte, 2*caller.KeptBodyBytes))}
+	if answer, err := p.call(t.Context(), "x", body); err == nil {
+		answer.Close()
+	}
+	if ran.Load() {
+		t.Error("got a broken request body passed on as whole")
+	}
+}
+
+func TestCallerCancelsTheCall(t *testing.T) {
+	canceled := make(chan struct{})
+	p := newPair(t, func(ctx context.Context, _ *caller.Call) *caller.Answer {
+		<-ctx.Done()
+		close(canceled)
+		return caller.Refuse(caller.Unknown, caller.ReasonCanceled)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := p.call(ctx, "x", nil); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want context.Canceled", err)
+	}
+	select {
+	case <-canceled:
+	case <-time.After(10 * time.Second):
+		t.Error("the target's side did not hear of the cancellation")
+	}
+}
+
+func TestFrozenReaderHoldsUpNobodyElse(t *testing.T) {
+	p := newPair(t, func(_ context.Context, call *caller.Call) *caller.Answer {
+		if call.CallID == "large" {
+			return answerWith(io.LimitReader(zeroes{}, 64<<20))
+		}
+		return answerWith(bytes.NewReader([]byte("ok")))
+	})
+	large, err := p.call(t.Context(), "large", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer large.Close()
+	// Nobody reads the large body; small calls share its session.
+	for range 50 {
+		answer, err := p.call(t.Context(), "small", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(answer.Body); err != nil || string(got) != "ok" {
+			t.Fatalf("got %q, %v, want ok", got, err)
+		}
+		answer.Close()
+	}
+	if got := p.dials.Load(); got != 1 {
+		t.Errorf("got %d sessions, want 1", got)
+	}
+}
+
+type zeroes struct{}
+
+func (zeroes) Read(p []byte) (int, error) { return len(p), nil }
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	p := newPair(t, echoes)
+	answer, err := p.call(t.Context(), "a", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, answer.Body)
+	answer.Close()
+	p.silence()
+	if _, err := p.call(t.Context(), "b", nil); err == nil || errors.Is(err, caller.ErrNotSent) {
+		t.Fatalf("silent connection: got %v, want an error that leaves the outcome open", err)
+	}
+	answer, err = p.call(t.Context(), "c", nil)
+	if err != nil {
+		t.Fatalf("new connection: got %v, want an answer", err)
+	}
+	answer.Close()
+}
+
+func TestNonsenseOnAStreamIsIgnored(t *testing.T) {
+	p := newPair(t, echoes)
+	for _, junk := range [][]byte{{}, {0}, {0xff, 0xff, 0xff, 0xff}, {0, 0, 0, 3, 1, 2, 3}, {0, 0, 0, 0}} {
+		stream, err := p.dialer.Open(t.Context(), netip.MustParseAddrPort(peer.PeerAddress))
+		if err != nil {
+			t.Fatal(err)
+		}
+		stream.Write(junk)
+		stream.Close()
+	}
+	answer, err := p.call(t.Context(), "after", nil)
+	if err != nil {
+		t.Fatalf("after nonsense: got %v, want an answer", err)
+	}
+	answer.Close()
+}
--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -226,7 +226,7 @@
 	for _, size := range []int{10, 100, 300, 1000, 1800} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			f := newFleet(size, 8)
-			f.run(60 * time.Second)
+			f.run(4 * time.Minute)
 			known := f.known()
 			f.packets, f.bytes = 0, 0
 			for b.Loop() {
@@ -247,7 +247,7 @@
 	for _, size := range []int{100, 300, 1000, 1800} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			f := newFleet(size, 9)
-			f.run(60 * time.Second)
+			f.run(4 * time.Minute)
 			f.packets, f.bytes = 0, 0
 			leaver, total, worst := 0, time.Duration(0), time.Duration(0)
 			for b.Loop() {
--- /dev/null
+++ b/internal/wire/encoder/encoder_test.go
@@ -0,0 +1,94 @@
+package encoder
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+func encodeBody(t testing.TB, body []byte) []byte {
+	t.Helper()
+	var wire bytes.Buffer
+	trailer, err := CopyBody(&wire, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	trailer.Unspent = 2
+	if err := WriteTrailer(&wire, trailer); err != nil {
+		t.Fatal(err)
+	}
+	return wire.Bytes()
+}
+
+func TestBodyRoundTrip(t *testing.T) {
+	for _, size := range []int{0, 1, chunkBytes - 1, chunkBytes, 3*chunkBytes + 5} {
+		want := bytes.Repeat([]byte{'x'}, size)
+		reader := NewBodyReader(bytes.NewReader(encodeBody(t, want)))
+		got, err := io.ReadAll(reader)
+		if err != nil || !bytes.Equal(got, want) {
+			t.Errorf("size %d: got %d bytes, %v", size, len(got), err)
+		}
+		if got := reader.Trailer().GetUnspent(); got != 2 {
+			t.Errorf("size %d: got %d unspent, want 2", size, got)
+		}
+	}
+}
+
+func TestEveryDamageToABodyIsNoticed(t *testing.T) {
+	body := []byte("a water booking")
+	wire := encodeBody(t, body)
+	for cut := range wire {
+		if _, err := io.ReadAll(NewBodyReader(bytes.NewReader(wire[:cut]))); !errors.Is(err, ErrBodyBroken) {
+			t.Errorf("cut after %d bytes: got %v, want ErrBodyBroken", cut, err)
+		}
+	}
+	for i := range wire {
+		for bit := range 8 {
+			damaged := bytes.Clone(wire)
+			damaged[i] ^= 1 << bit
+			reader := NewBodyReader(bytes.NewReader(damaged))
+			got, err := io.ReadAll(reader)
+			// Bits of the unspent allowance are not the body's.
+			if err == nil && !bytes.Equal(got, body) {
+				t.Errorf("bit %d of byte %d: got %q passed as whole", bit, i, got)
+			}
+		}
+	}
+}
+
+func TestFrameLimits(t *testing.T) {
+	if err := ReadFrame(bytes.NewReader([]byte{0xff, 0, 0, 0}), &Trailer{}); !errors.Is(err, ErrFrameTooLarge) {
+		t.Errorf("got %v, want ErrFrameTooLarge", err)
+	}
+	if err := ReadFrame(bytes.NewReader(nil), &Trailer{}); !errors.Is(err, io.EOF) {
+		t.Errorf("empty stream: got %v, want io.EOF", err)
+	}
+	if err := ReadFrame(bytes.NewReader([]byte{0, 0, 0, 9, 1}), &Trailer{}); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("cut frame: got %v, want io.ErrUnexpectedEOF", err)
+	}
+}
+
+func FuzzStreamHead(f *testing.F) {
+	var wire bytes.Buffer
+	WriteFrame(&wire, &StreamHead{Kind: &StreamHead_Call{Call: &CallHead{RequestId: "r", TimeoutNanos: 1}}})
+	f.Add(wire.Bytes())
+	f.Add([]byte{0, 0, 0, 1, 10})
+	f.Add([]byte{0x7f, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		ReadFrame(bytes.NewReader(data), &StreamHead{})
+	})
+}
+
+func FuzzBody(f *testing.F) {
+	f.Add(encodeBody(f, []byte("whole")))
+	f.Add([]byte{0, 0, 0, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := NewBodyReader(bytes.NewReader(data))
+		body, err := io.ReadAll(reader)
+		if err == nil && reader.Trailer().GetLength() != uint64(len(body)) {
+			t.Errorf("got %d bytes passed as whole, trailer says %d", len(body), reader.Trailer().GetLength())
+		}
+	})
+}
