--- a/cmd/laburnumshelf/main_test.go
+++ b/cmd/laburnumshelf/main_test.go
@@ -264,14 +264,12 @@
 			if i == 0 {
 				close(started)
 			}
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
 		}
 	}
 	f := newFleet(t)
 	leaving := f.start("a", http.HandlerFunc(download))
 	f.settled()
-	other := f.start("b", named("b"))
-	f.settled()
 	type result struct {
 		status int
 		body   string
@@ -282,6 +280,8 @@
 		results <- result{status: status, body: body}
 	}()
 	<-started
+	other := f.start("b", named("b"))
+	f.settled()
 	leaving.cmd.Process.Signal(syscall.SIGTERM)
 	f.eventually("announcement of the leaving node", func() bool {
 		return strings.Contains(get(other.admin+"/members"), `"state":"leaving"`)
