--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -193,8 +193,20 @@
 // smallBodyBytes is the largest announced body that is sent with one write.
 const smallBodyBytes = 12 << 10
 
+// writers holds buffers that take a small answer whole.
+var writers = sync.Pool{
+	New: func() any {
+		return bufio.NewWriterSize(nil, 2*smallBodyBytes)
+	},
+}
+
 func (a *Acceptor) respond(stream *yamux.Stream, answer *caller.Answer) {
-	buffer := bufio.NewWriterSize(stream, 2*smallBodyBytes)
+	buffer := writers.Get().(*bufio.Writer)
+	buffer.Reset(stream)
+	defer func() {
+		buffer.Reset(nil)
+		writers.Put(buffer)
+	}()
 	if err := encoder.WriteFrame(buffer, translator.AnswerHead(answer)); err != nil {
 		return
 	}
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -127,10 +128,20 @@
 	return nil
 }
 
+const bufferBytes = 16 << 10
+
+// buffers holds buffers for parts of bodies.
+var buffers = sync.Pool{
+	New: func() any {
+		return new([bufferBytes]byte)
+	},
+}
+
 // copyBody copies a body and flushes each part when flush is set.
 func copyBody(response *echo.Response, body io.Reader, flush bool) error {
-	const bufferBytes = 16 << 10
-	buffer := make([]byte, bufferBytes)
+	pooled := buffers.Get().(*[bufferBytes]byte)
+	defer buffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/internal/wire/encoder/body.go
+++ b/internal/wire/encoder/body.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -17,12 +18,21 @@
 // ErrBodyBroken reports a body that ended early or does not match its trailer.
 var ErrBodyBroken = errors.New("body broke off or does not match its length and checksum")
 
+// chunks holds buffers for one chunk with its length.
+var chunks = sync.Pool{
+	New: func() any {
+		return new([lengthBytes + chunkBytes]byte)
+	},
+}
+
 // CopyBody writes src to dst as chunks and returns the body's size and
 // checksum. The caller closes the body with WriteTrailer.
 func CopyBody(dst io.Writer, src io.Reader) (*Trailer, error) {
 	sum := xxhash.New()
 	trailer := &Trailer{}
-	chunk := make([]byte, lengthBytes+chunkBytes)
+	buffer := chunks.Get().(*[lengthBytes + chunkBytes]byte)
+	defer chunks.Put(buffer)
+	chunk := buffer[:]
 	for {
 		n, err := src.Read(chunk[lengthBytes:])
 		if n > 0 {
--- a/internal/wire/encoder/encoder.go
+++ b/internal/wire/encoder/encoder.go
@@ -101,7 +101,10 @@
 	return err
 }
 
+// readerBytes is enough for the frames around a small body.
+const readerBytes = 4 << 10
+
 // NewStreamReader returns a buffered reader sized for frames and chunks.
 func NewStreamReader(r io.Reader) *bufio.Reader {
-	return bufio.NewReaderSize(r, chunkBytes)
+	return bufio.NewReaderSize(r, readerBytes)
 }
