Replay traces with a process for each node; merge groups that started apart

Cause: 24 nodes that started together found each other in groups of a few and then stopped reading contacts, so the groups never met. A node now also joins through contacts that no member's address matches, and reads the announcements again in its first minute. TestIslandsMergeThroughContacts failed before (5 of 10 members known) and passes after.

Cause: the replay's client forgot its token when the answer to the bound try was lost, and asked for a new one; the client now keeps it.

--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -40,6 +40,9 @@
 	contactPeriod = 5 * time.Second
 	// announcePeriod is the time between two announcements of one node.
 	announcePeriod = 10 * time.Minute
+	// startPeriod is the time after the start in which contacts are read again
+	// and again, since others may have started at the same time.
+	startPeriod    = time.Minute
 	logTimeout     = 5 * time.Second
 	maxPacketBytes = 64 << 10
 )
@@ -185,13 +188,15 @@
 	if a.config.Log == nil {
 		return
 	}
-	announced := time.Time{}
+	started, announced := time.Now(), time.Time{}
 	for {
+		again := time.Since(started) < startPeriod || len(a.Members()) < 2
 		if time.Since(announced) >= announcePeriod && a.announce(ctx) == nil {
 			// The jitter keeps nodes that started together from staying so.
 			announced = time.Now().Add(rand.N(announcePeriod / 4))
+			again = true
 		}
-		if len(a.Members()) < 2 {
+		if again {
 			a.readContacts(ctx)
 		}
 		select {
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -57,6 +57,10 @@
 	// syncPackets bounds the packets sent to a peer in one tick.
 	syncPackets = 16
 	buckets     = 64
+	// maxContacts bounds the contacts kept, and maxContactTries the packets
+	// sent to one while other members are known.
+	maxContacts     = 512
+	maxContactTries = 5
 )
 
 // Config is what a Table needs.
@@ -83,6 +87,12 @@
 	sends int
 }
 
+// contact is an address through which to join.
+type contact struct {
+	address netip.AddrPort
+	tries   int
+}
+
 // probe is one probe that waits for its answer.
 type probe struct {
 	subject  string
@@ -106,7 +116,7 @@
 	troubled map[string]*entry
 	probes   map[uint64]*probe
 	backlog  map[netip.AddrPort][]*encoder.Member
-	contacts []netip.AddrPort
+	contacts []*contact
 	changes  []*encoder.Member
 	digests  [buckets]uint64
 	version  int64
@@ -168,15 +178,21 @@
 	return changes
 }
 
-// AddContacts adds addresses to join through while no other member is known.
-func (t *Table) AddContacts(contacts ...netip.AddrPort) {
-	for _, contact := range contacts {
-		known := contact == t.self.address
+// AddContacts adds addresses through which to join other members.
+func (t *Table) AddContacts(addresses ...netip.AddrPort) {
+	for _, address := range addresses {
+		known := address == t.self.address
 		for _, other := range t.contacts {
-			known = known || contact == other
+			known = known || address == other.address
+		}
+		if known {
+			continue
 		}
-		if !known {
-			t.contacts = append(t.contacts, contact)
+		t.contacts = append(t.contacts, &contact{
+			address: address,
+		})
+		if len(t.contacts) > maxContacts {
+			t.contacts = t.contacts[1:]
 		}
 	}
 }
--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -127,6 +127,27 @@
 	}
 }
 
+// TestIslandsMergeThroughContacts joins two groups that started at the same time
+// and found only their own members.
+func TestIslandsMergeThroughContacts(t *testing.T) {
+	f := newFleet(10, 10)
+	for i, table := range f.tables {
+		table.contacts = nil
+		if i%5 > 0 {
+			table.AddContacts(f.tables[i-1].self.address)
+		}
+	}
+	f.run(15 * time.Second)
+	if got := f.known(); got != 5 {
+		t.Fatalf("before the contact: got %d members known, want the own group's 5", got)
+	}
+	f.tables[7].AddContacts(f.tables[2].self.address)
+	f.run(15 * time.Second)
+	if got := f.known(); got != 10 {
+		t.Errorf("after the contact: got %d members known, want 10", got)
+	}
+}
+
 func TestLeavingReachesAllWithinThreeSeconds(t *testing.T) {
 	const size = 300
 	f := newFleet(size, 2)
--- a/internal/process/gossiper/tick.go
+++ b/internal/process/gossiper/tick.go
@@ -52,18 +52,38 @@
 	return out
 }
 
-// join asks a contact for its table while no other member is known.
+// join asks a contact for its table: any contact while no other member is known,
+// and then those that no member's address matches, because groups of nodes that
+// started at the same time may have found only each other.
 func (t *Table) join() []Outgoing {
-	if len(t.pick(1, alive)) > 0 || len(t.contacts) == 0 {
+	alone := len(t.pick(1, alive)) == 0
+	var wanted []*contact
+	for _, c := range t.contacts {
+		if alone || (c.tries < maxContactTries && !t.knows(c.address)) {
+			wanted = append(wanted, c)
+		}
+	}
+	if len(wanted) == 0 {
 		return nil
 	}
-	contact := t.contacts[t.config.Rand.IntN(len(t.contacts))]
+	chosen := wanted[t.config.Rand.IntN(len(wanted))]
+	chosen.tries++
 	return []Outgoing{{
-		To:     contact,
+		To:     chosen.address,
 		Packet: t.packet(encoder.PacketKind_JOIN, nil),
 	}}
 }
 
+// knows reports whether a living member has the address.
+func (t *Table) knows(address netip.AddrPort) bool {
+	for _, e := range t.members {
+		if e.address == address && alive(e) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkProbes repeats silent probes through others and suspects their subjects.
 func (t *Table) checkProbes(now time.Time) []Outgoing {
 	var out []Outgoing
--- a/internal/replay/driver/driver.go
+++ b/internal/replay/driver/driver.go
@@ -257,7 +257,9 @@
 		started := time.Now()
 		result := c.try(ctx, token)
 		if result.Early {
-			result = c.try(ctx, result.Token)
+			// The token must outlive a try whose answer is lost.
+			token = result.Token
+			result = c.try(ctx, token)
 		}
 		if result.Token != "" {
 			token = result.Token
--- a/internal/replay/player/cmd_run.go
+++ b/internal/replay/player/cmd_run.go
@@ -7,6 +7,7 @@
 	"maps"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/assembler"
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/driver"
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/reporter"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/spawner"
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/tracer"
 )
 
@@ -35,6 +37,7 @@
 	Scale    float64  `long:"scale" value-name:"FACTOR" default:"1" description:"Multiply all times of the course, for shorter runs"`
 	Without  []string `long:"without" value-name:"MECHANISM" description:"Also run with a mechanism off; 'each' means each in turn"`
 	OnlyWith bool     `long:"only-with" description:"Do not run without the layer"`
+	Binary   string   `long:"binary" value-name:"FILE" description:"The laburnumshelf program for traces with processes; by default the one beside this program"`
 	Counters bool     `long:"counters" description:"Also print how often each decision was taken"`
 	Args     struct {
 		Traces []string `positional-arg-name:"TRACE" required:"1"`
@@ -45,9 +48,12 @@
 type plan struct {
 	trace   *tracer.Trace
 	variant string
-	build   func(ctx context.Context, trace *tracer.Trace) driver.Fleet
+	build   func(ctx context.Context, trace *tracer.Trace) (driver.Fleet, func(), error)
 }
 
+// noCleanUp is for fleets that end with their context.
+func noCleanUp() {}
+
 // Execute implements flags.Commander.
 func (r *replayRun) Execute([]string) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
@@ -64,7 +70,10 @@
 			return err
 		}
 		for i, p := range plans {
-			report := r.play(ctx, p)
+			report, err := r.play(ctx, p)
+			if err != nil {
+				return err
+			}
 			reports = append(reports, report)
 			missed = missed || (i == 0 && len(report.Failures) > 0)
 		}
@@ -81,12 +90,15 @@
 // plans returns the runs of a trace; the first one is judged.
 func (r *replayRun) plans(trace *tracer.Trace) ([]plan, error) {
 	plans := []plan{layerPlan(trace, "with the layer", assembler.Switches{})}
-	if !r.OnlyWith {
+	if trace.Processes {
+		plans[0].build = r.spawn
+	}
+	if !r.OnlyWith && !trace.Processes {
 		plans = append(plans, plan{
 			trace:   trace,
 			variant: "without it",
-			build: func(_ context.Context, trace *tracer.Trace) driver.Fleet {
-				return assembler.NewDirect(trace)
+			build: func(_ context.Context, trace *tracer.Trace) (driver.Fleet, func(), error) {
+				return assembler.NewDirect(trace), noCleanUp, nil
 			},
 		})
 	}
@@ -107,20 +119,45 @@
 	return plans, nil
 }
 
+// spawn starts the fleet as processes.
+func (r *replayRun) spawn(ctx context.Context, trace *tracer.Trace) (driver.Fleet, func(), error) {
+	fleet, err := spawner.New(ctx, trace, r.binary())
+	if err != nil {
+		return nil, nil, err
+	}
+	return fleet, fleet.Close, nil
+}
+
+// binary returns the given laburnumshelf program, or the one beside this one.
+func (r *replayRun) binary() string {
+	if r.Binary != "" {
+		return r.Binary
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "laburnumshelf"
+	}
+	return filepath.Join(filepath.Dir(self), "laburnumshelf")
+}
+
 func layerPlan(trace *tracer.Trace, variant string, switches assembler.Switches) plan {
 	return plan{
 		trace:   trace,
 		variant: variant,
-		build: func(ctx context.Context, trace *tracer.Trace) driver.Fleet {
-			return assembler.New(ctx, trace, switches)
+		build: func(ctx context.Context, trace *tracer.Trace) (driver.Fleet, func(), error) {
+			return assembler.New(ctx, trace, switches), noCleanUp, nil
 		},
 	}
 }
 
-func (r *replayRun) play(ctx context.Context, p plan) reporter.Report {
+func (r *replayRun) play(ctx context.Context, p plan) (reporter.Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	fleet := p.build(ctx, p.trace)
+	fleet, cleanUp, err := p.build(ctx, p.trace)
+	if err != nil {
+		return reporter.Report{}, err
+	}
+	defer cleanUp()
 	outcome := driver.Run(ctx, p.trace, fleet, func(at time.Duration, offered, whole int) {
 		fmt.Fprintf(r.env.stderr, "%s, %s: %s of %s, last second: %d offered, %d answered whole\n",
 			p.trace.Name, p.variant, at.Round(time.Second), p.trace.Duration, offered, whole)
@@ -131,7 +168,7 @@
 			fmt.Fprintf(r.env.stderr, "%s, %s: %s %d\n", p.trace.Name, p.variant, name, counters[name])
 		}
 	}
-	return reporter.New(p.trace, p.variant, outcome)
+	return reporter.New(p.trace, p.variant, outcome), nil
 }
 
 func (r *replayRun) print(reports []reporter.Report) error {
--- a/internal/replay/tracer/tracer.go
+++ b/internal/replay/tracer/tracer.go
@@ -14,17 +14,19 @@
 
 // Trace is one recorded experiment.
 type Trace struct {
-	Name     string
-	Summary  string
-	Seed     uint64
-	Duration time.Duration
-	Regions  []Region
-	Latency  Latency
-	Services []Service
-	Arrivals []Arrival
-	Phases   []Phase
-	Faults   []Fault
-	Outcomes Outcomes
+	Name    string
+	Summary string
+	Seed    uint64
+	// Processes runs each node as a process of its own.
+	Processes bool
+	Duration  time.Duration
+	Regions   []Region
+	Latency   Latency
+	Services  []Service
+	Arrivals  []Arrival
+	Phases    []Phase
+	Faults    []Fault
+	Outcomes  Outcomes
 }
 
 // Region is a region with its availability zones.
