--- a/internal/replay/assembler/assembler.go
+++ b/internal/replay/assembler/assembler.go
@@ -248,7 +248,7 @@
 // Do implements driver.Fleet: the client enters through any node of its region.
 func (f *Fleet) Do(ctx context.Context, request driver.Request) driver.Result {
 	n := f.entry(request.Region)
-	if n == nil || !sleep(ctx, f.trace.Latency.Client) {
+	if n == nil || !responder.Sleep(ctx, f.trace.Latency.Client) {
 		return driver.Result{}
 	}
 	call, err := initiator.New(f.settings, n.inbound, initiator.Request{
@@ -266,7 +266,7 @@
 		}
 	}
 	result := n.dispatch(ctx, call)
-	if !sleep(ctx, f.trace.Latency.Client) {
+	if !responder.Sleep(ctx, f.trace.Latency.Client) {
 		return driver.Result{}
 	}
 	return result
--- a/internal/replay/assembler/direct.go
+++ b/internal/replay/assembler/direct.go
@@ -79,7 +79,7 @@
 
 // Do implements driver.Fleet.
 func (d *Direct) Do(ctx context.Context, request driver.Request) driver.Result {
-	if !sleep(ctx, d.trace.Latency.Client) {
+	if !responder.Sleep(ctx, d.trace.Latency.Client) {
 		return driver.Result{}
 	}
 	response := d.call(ctx, request.Region, request.ID, tracer.Call{
@@ -87,7 +87,7 @@
 		Method:  request.Method,
 		Path:    request.Path,
 	})
-	if !sleep(ctx, d.trace.Latency.Client) {
+	if !responder.Sleep(ctx, d.trace.Latency.Client) {
 		return driver.Result{}
 	}
 	return driver.Result{
@@ -129,7 +129,7 @@
 	d.mu.Lock()
 	down := !target.downAt.IsZero()
 	d.mu.Unlock()
-	if !sleep(ctx, latency) || down {
+	if !responder.Sleep(ctx, latency) || down {
 		return responder.Response{
 			Status: 502,
 		}
@@ -141,7 +141,7 @@
 	}, func(ctx context.Context, downstream tracer.Call) int {
 		return d.call(ctx, target.region, requestID, downstream).Status
 	})
-	if !sleep(ctx, latency) {
+	if !responder.Sleep(ctx, latency) {
 		return responder.Response{
 			Status: 504,
 		}
--- a/internal/replay/assembler/fault.go
+++ b/internal/replay/assembler/fault.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/responder"
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/tracer"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 )
@@ -94,7 +95,7 @@
 	go func() {
 		const linger = 3 * time.Second
 		<-n.executor.Idle()
-		if sleep(f.ctx, linger) {
+		if responder.Sleep(f.ctx, linger) {
 			f.stop(n)
 		}
 	}()
--- a/internal/replay/assembler/transport.go
+++ b/internal/replay/assembler/transport.go
@@ -34,7 +34,7 @@
 	}
 	f.mu.Unlock()
 	latency := f.latency(t.from, to)
-	if !sleep(ctx, latency) {
+	if !responder.Sleep(ctx, latency) {
 		return nil, ctx.Err()
 	}
 	if to == nil || to.alive.Err() != nil {
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, latency) {
+	if !responder.Sleep(ctx, latency) {
 		answer.Close()
 		return nil, ctx.Err()
 	}
@@ -165,18 +165,3 @@
 	}
 	return n.dispatch(ctx, call).Status
 }
-
-// sleep waits and reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/replay/driver/driver.go
+++ b/internal/replay/driver/driver.go
@@ -177,7 +177,7 @@
 	for n := 0; ; n++ {
 		rate := arrival.PerSecond * r.trace.Factor(next)
 		next += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
-		if next >= r.trace.Duration || !sleep(ctx, next-time.Since(r.started)) {
+		if next >= r.trace.Duration || !responder.Sleep(ctx, next-time.Since(r.started)) {
 			return
 		}
 		client := client{
@@ -199,11 +199,11 @@
 	var faults sync.WaitGroup
 	for _, fault := range r.trace.Faults {
 		faults.Go(func() {
-			if !sleep(ctx, fault.At-time.Since(r.started)) {
+			if !responder.Sleep(ctx, fault.At-time.Since(r.started)) {
 				return
 			}
 			end := r.fleet.Inject(fault)
-			sleep(ctx, fault.For)
+			responder.Sleep(ctx, fault.For)
 			end()
 		})
 	}
@@ -214,7 +214,7 @@
 	if progress == nil {
 		return
 	}
-	for sleep(ctx, time.Second) {
+	for responder.Sleep(ctx, time.Second) {
 		at := time.Since(r.started)
 		offered, whole := 0, 0
 		r.mu.Lock()
@@ -270,7 +270,7 @@
 		}
 		onlyNotRun = onlyNotRun && result.NotRun
 		if try < c.arrival.Resends {
-			sleep(ctx, time.Duration((0.5+rng.Float64())*float64(c.arrival.ResendDelay)))
+			responder.Sleep(ctx, time.Duration((0.5+rng.Float64())*float64(c.arrival.ResendDelay)))
 		}
 	}
 	if onlyNotRun && c.ran() {
@@ -353,18 +353,3 @@
 	}
 	return nil
 }
-
-// sleep waits and reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/replay/responder/responder.go
+++ b/internal/replay/responder/responder.go
@@ -81,13 +81,6 @@
 	s.started = now
 }
 
-// Busy returns the number of slots in use and requests waiting.
-func (s *Server) Busy() (busy, waiting int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.busy, len(s.waiting)
-}
-
 // Serve runs one request.
 func (s *Server) Serve(ctx context.Context, request Request, downstream Downstream) Response {
 	route := s.route(request)
@@ -103,7 +96,7 @@
 	}
 	defer s.release()
 	s.ledger.Ran(s.service.Name, route.Name, request.RequestID, !route.Idempotent)
-	if !sleep(ctx, s.work(route)) {
+	if !Sleep(ctx, s.work(route)) {
 		return Response{
 			Status: 504,
 		}
@@ -239,8 +232,11 @@
 	return body
 }
 
-// sleep waits and reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits and reports whether the time passed before ctx ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/replay/spawner/node.go
+++ b/internal/replay/spawner/node.go
@@ -118,7 +118,7 @@
 // Do implements driver.Fleet: the client enters through any node of its region.
 func (f *Fleet) Do(ctx context.Context, request driver.Request) driver.Result {
 	n := f.entry(request.Region)
-	if n == nil || !wait(ctx, 2*f.trace.Latency.Client) {
+	if n == nil || !responder.Sleep(ctx, 2*f.trace.Latency.Client) {
 		return driver.Result{}
 	}
 	req, err := http.NewRequestWithContext(ctx, request.Method, "http://"+n.call+request.Path, nil)
@@ -247,15 +247,3 @@
 		replacement.server.Restart(time.Now())
 	}
 }
-
-// wait waits and reports whether the time passed before ctx ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -110,18 +110,6 @@
 	d.router.Update(time.Now(), member)
 }
 
-// Targets returns the known targets of a service.
-func (d *Dispatcher) Targets(service describer.ServiceName) []*router.Target {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.router.Targets(service)
-}
-
-// Threshold returns the admission threshold expected for a route.
-func (d *Dispatcher) Threshold(service describer.ServiceName, route string) caller.Priority {
-	return d.forecast.Threshold(time.Now(), service, route)
-}
-
 // MintFor returns a token bound to a target of the service other than the
 // excluded member, or nil when there is none.
 func (d *Dispatcher) MintFor(service describer.ServiceName, exclude string) *encoder.Token {
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -11,7 +11,6 @@
 package executor
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -28,9 +27,6 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
-// keptAnswerBytes bounds the answer body remembered for a token.
-const keptAnswerBytes = 64 << 10
-
 // retryAfter is what a refused caller is told to wait.
 const retryAfter = time.Second
 
@@ -196,37 +192,6 @@
 	}
 }
 
-// await waits for the end of the same call that another copy started.
-func (e *Executor) await(ctx context.Context, call *caller.Call, entry *deduplicator.Entry) *caller.Answer {
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
-	defer cancel()
-	select {
-	case <-entry.Done():
-		return e.remembered(call, entry)
-	case <-ctx.Done():
-		return e.refuse(call, caller.Unknown, caller.ReasonTimeout)
-	}
-}
-
-// remembered answers from the entry of a call that ended.
-func (e *Executor) remembered(call *caller.Call, entry *deduplicator.Entry) *caller.Answer {
-	if entry.Verdict() == deduplicator.Refused {
-		return e.refuseBound(call, entry, caller.ReasonTombstone)
-	}
-	outcome := entry.Outcome()
-	if outcome.Answer.Outcome != caller.Answered {
-		return e.refuse(call, outcome.Answer.Outcome, outcome.Answer.Reason)
-	}
-	if !outcome.Kept {
-		return e.refuse(call, caller.Ran, caller.ReasonBodyTooLarge)
-	}
-	e.record(call, recorder.Replay, caller.ReasonReplayed, caller.Answered, 0)
-	answer := outcome.Answer
-	answer.Header = answer.Header.Clone()
-	answer.Body = io.NopCloser(bytes.NewReader(outcome.Body))
-	return &answer
-}
-
 // refuse answers without running the call.
 func (e *Executor) refuse(call *caller.Call, outcome caller.Outcome, reason caller.Reason) *caller.Answer {
 	e.record(call, recorder.Refuse, reason, outcome, 0)
@@ -235,35 +200,6 @@
 	return answer
 }
 
-// refuseBound refuses the call for good and names the successor token.
-func (e *Executor) refuseBound(call *caller.Call, entry *deduplicator.Entry, reason caller.Reason) *caller.Answer {
-	if entry != nil {
-		e.settleRefusal(entry)
-	}
-	answer := e.refuse(call, caller.NotRun, reason)
-	if reason == caller.ReasonBulkhead {
-		// The route's callers should refuse what is no more important.
-		answer.PathThreshold = call.Priority + 1
-	}
-	if entry != nil {
-		answer.Successor = entry.Successor()
-	}
-	return answer
-}
-
-func (e *Executor) settleRefusal(entry *deduplicator.Entry) {
-	e.mu.Lock()
-	missing := entry.Successor() == nil
-	e.mu.Unlock()
-	var successor *encoder.Token
-	if missing && e.config.Successor != nil {
-		successor = e.config.Successor()
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.tokens.Refuse(entry, successor)
-}
-
 func (e *Executor) admitAndRun(ctx context.Context, call *caller.Call, entry *deduplicator.Entry) *caller.Answer {
 	ticket, reason := e.admit(ctx, call)
 	if reason != caller.ReasonAdmitted {
@@ -415,48 +351,6 @@
 	return answer
 }
 
-func (e *Executor) finish(entry *deduplicator.Entry, outcome deduplicator.Outcome) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.tokens.Finish(entry, outcome)
-}
-
-// keep reads a small answer whole and remembers it for the token; a larger one
-// is remembered without its body and passed on as it comes.
-func (e *Executor) keep(entry *deduplicator.Entry, answer *caller.Answer) *caller.Answer {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, keptAnswerBytes+1))
-	if err == nil && len(body) > keptAnswerBytes {
-		e.finish(entry, deduplicator.Outcome{
-			Answer: *answer,
-		})
-		answer.Body = &prefixedBody{
-			Reader: io.MultiReader(bytes.NewReader(body), answer.Body),
-			closer: answer.Body,
-		}
-		return answer
-	}
-	answer.Body.Close()
-	if err != nil {
-		broken := caller.Refuse(caller.Ran, caller.ReasonBodyBroken)
-		broken.Detail = err.Error()
-		e.finish(entry, deduplicator.Outcome{
-			Answer: *broken,
-		})
-		return broken
-	}
-	stored := *answer
-	stored.Body = nil
-	stored.Unspent = nil
-	stored.Header = answer.Header.Clone()
-	e.finish(entry, deduplicator.Outcome{
-		Answer: stored,
-		Body:   body,
-		Kept:   true,
-	})
-	answer.Body = io.NopCloser(bytes.NewReader(body))
-	return answer
-}
-
 func (e *Executor) record(call *caller.Call, action recorder.Action, reason caller.Reason, outcome caller.Outcome, wait time.Duration) {
 	e.config.Recorder.Record(recorder.Decision{
 		RequestID: call.RequestID,
--- a/internal/version/describer/describer.go
+++ b/internal/version/describer/describer.go
@@ -10,7 +10,6 @@
 import (
 	"fmt"
 	"maps"
-	"sort"
 	"strings"
 	"time"
 
@@ -253,15 +252,3 @@
 		Teams:    maps.Clone(s.Teams),
 	}
 }
-
-// ServiceNames returns the names of all services with settings, sorted.
-func (s *Settings) ServiceNames() []ServiceName {
-	names := make([]ServiceName, 0, len(s.Services))
-	for name := range s.Services {
-		names = append(names, name)
-	}
-	sort.Slice(names, func(i, j int) bool {
-		return names[i].String() < names[j].String()
-	})
-	return names
-}
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -55,7 +55,6 @@
 	snapshotTime time.Time
 	badRecords   int64
 	state        State
-	changed      chan struct{}
 }
 
 // New returns a Follower with no settings. A nil log leaves peers as the only
@@ -64,7 +63,6 @@
 	return &Follower{
 		log:          log,
 		state:        NewState(),
-		changed:      make(chan struct{}),
 		snapshotTime: time.Now(),
 	}
 }
@@ -76,13 +74,6 @@
 	return f.state
 }
 
-// Changed returns a channel that is closed when the version next rises.
-func (f *Follower) Changed() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.changed
-}
-
 // BadRecords returns the number of undecodable records skipped.
 func (f *Follower) BadRecords() int64 {
 	f.mu.Lock()
@@ -204,8 +195,6 @@
 func (f *Follower) advance(next State) {
 	f.state = next
 	f.cursor = max(f.cursor, next.Version)
-	close(f.changed)
-	f.changed = make(chan struct{})
 }
 
 // Apply takes one record read by the caller.
