Let a canceled call end as canceled

Cause: TestCallerCancelsTheCall failed once (got <nil>): the target's side noticed the closed stream and answered 'canceled' before the caller's read gave up, so the call returned a refusal instead of the cancellation.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -153,12 +153,13 @@
 		stream.SetDeadline(time.Unix(1, 0))
 	})
 	answer, err := send(stream, call)
+	if ctx.Err() != nil {
+		// The target may still answer that the call was canceled.
+		err = errors.CombineErrors(ctx.Err(), err)
+	}
 	if err != nil {
 		stop()
 		stream.Close()
-		if ctx.Err() != nil {
-			err = errors.CombineErrors(ctx.Err(), err)
-		}
 		return nil, err
 	}
 	if answer.Body == nil {
