--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -212,6 +212,9 @@
 func (n *Node) handleCalls(inbound *tracker.Table) {
 	expvarOnce.Do(func() {
 		expvar.Publish("decisions", n.recorder.Var())
+		expvar.Publish("badRecords", expvar.Func(func() any {
+			return n.follower.BadRecords()
+		}))
 	})
 	calls := gateway.New(gateway.Config{
 		Calls:    n,
