--- a/internal/request/admitter/threshold.go
+++ b/internal/request/admitter/threshold.go
@@ -17,12 +17,12 @@
 	// lowerShare is the share of the capacity below which the threshold falls.
 	lowerShare = 0.97
 	// lowerGain is the part of the spare capacity given back in one window.
-	lowerGain = 0.3
+	lowerGain = 0.5
 	// densityLevels is the number of levels above the threshold from which the
 	// demand below it is estimated.
 	densityLevels = 64
 	minStep       = 2
-	maxStep       = 48
+	maxStep       = 64
 	// maxThreshold leaves the highest level of the highest criticality open.
 	maxThreshold = caller.PriorityLevels - 1
 )
