Look up contacts among members' addresses once a second

The join step walked all members for each contact: with 512 contacts and 1,800 members some hundred thousand map steps a second for nothing. It now collects the addresses once. No behaviour changes; the membership tests pass with the detector.

--- a/internal/process/gossiper/tick.go
+++ b/internal/process/gossiper/tick.go
@@ -56,10 +56,14 @@
 // and then those that no member's address matches, because groups of nodes that
 // started at the same time may have found only each other.
 func (t *Table) join() []Outgoing {
+	if len(t.contacts) == 0 {
+		return nil
+	}
 	alone := len(t.pick(1, alive)) == 0
+	known := t.addresses()
 	var wanted []*contact
 	for _, c := range t.contacts {
-		if alone || (c.tries < maxContactTries && !t.knows(c.address)) {
+		if alone || (c.tries < maxContactTries && !known[c.address]) {
 			wanted = append(wanted, c)
 		}
 	}
@@ -74,14 +78,15 @@
 	}}
 }
 
-// knows reports whether a living member has the address.
-func (t *Table) knows(address netip.AddrPort) bool {
+// addresses returns the addresses of the living members.
+func (t *Table) addresses() map[netip.AddrPort]bool {
+	known := make(map[netip.AddrPort]bool, len(t.members))
 	for _, e := range t.members {
-		if e.address == address && alive(e) {
-			return true
+		if alive(e) {
+			known[e.address] = true
 		}
 	}
-	return false
+	return known
 }
 
 // checkProbes repeats silent probes through others and suspects their subjects.
