Derive a replay's attempts from its decisions, and the call time once

The fleets each counted first attempts and retries beside the counters that already hold them; the driver now derives both from the counters. Expiring the queue worked out the same call time for every ticket. No behaviour changes.

--- a/internal/replay/assembler/assembler.go
+++ b/internal/replay/assembler/assembler.go
@@ -231,20 +231,6 @@
 	return sum
 }
 
-// Attempts implements driver.Fleet.
-func (f *Fleet) Attempts() (first, retries int64) {
-	for _, r := range f.recorders() {
-		routed, retried := int64(0), int64(0)
-		for reason := range caller.Reason(caller.MaxReason + 1) {
-			routed += r.Count(recorder.Route, reason)
-			retried += r.Count(recorder.Retry, reason) - r.Count(recorder.Resolve, reason)
-		}
-		first += routed - retried
-		retries += retried
-	}
-	return first, retries
-}
-
 // Do implements driver.Fleet: the client enters through any node of its region.
 func (f *Fleet) Do(ctx context.Context, request driver.Request) driver.Result {
 	n := f.entry(request.Region)
--- a/internal/replay/assembler/direct.go
+++ b/internal/replay/assembler/direct.go
@@ -65,16 +65,14 @@
 	return d.ledger
 }
 
-// Attempts implements driver.Fleet.
-func (d *Direct) Attempts() (first, retries int64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.first, d.retries
-}
-
 // Counters implements driver.Fleet.
 func (d *Direct) Counters() map[string]int64 {
-	return nil
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return map[string]int64{
+		"route.none": d.first + d.retries,
+		"retry.none": d.retries,
+	}
 }
 
 // Do implements driver.Fleet.
--- a/internal/replay/driver/driver.go
+++ b/internal/replay/driver/driver.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/responder"
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/tracer"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 )
 
@@ -53,9 +55,7 @@
 	Inject(fault tracer.Fault) func()
 	// Ledger counts the runs at the stand-ins.
 	Ledger() *responder.Ledger
-	// Attempts returns the first attempts and the retries of all nodes.
-	Attempts() (first, retries int64)
-	// Counters returns how often each decision was taken.
+	// Counters returns how often each decision was taken, by "action.reason".
 	Counters() map[string]int64
 }
 
@@ -150,10 +150,28 @@
 	sources.Wait()
 	r.clients.Wait()
 	r.outcome.Totals = fleet.Ledger().Totals()
-	r.outcome.First, r.outcome.Retries = fleet.Attempts()
+	r.outcome.First, r.outcome.Retries = attempts(fleet.Counters())
 	return r.outcome
 }
 
+// attempts returns the first attempts and the retries among the decisions. A
+// question about an earlier attempt follows a retry decision but is no attempt.
+func attempts(counters map[string]int64) (first, retries int64) {
+	routed := int64(0)
+	for name, count := range counters {
+		action, _, _ := strings.Cut(name, ".")
+		switch action {
+		case recorder.Route.String():
+			routed += count
+		case recorder.Retry.String():
+			retries += count
+		case recorder.Resolve.String():
+			retries -= count
+		}
+	}
+	return routed - retries, retries
+}
+
 func (r *run) class(i int) Class {
 	arrival := r.trace.Arrivals[i]
 	class := Class{
--- a/internal/replay/spawner/spawner.go
+++ b/internal/replay/spawner/spawner.go
@@ -18,7 +18,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
@@ -254,24 +253,6 @@
 	return exported.Decisions
 }
 
-// Attempts implements driver.Fleet.
-func (f *Fleet) Attempts() (first, retries int64) {
-	routed, resolved := int64(0), int64(0)
-	for name, count := range f.Counters() {
-		action, _, _ := strings.Cut(name, ".")
-		switch action {
-		case "route":
-			routed += count
-		case "retry":
-			retries += count
-		case "resolve":
-			resolved += count
-		}
-	}
-	retries -= resolved
-	return routed - retries, retries
-}
-
 // settingsFile writes the process settings of a node.
 func (f *Fleet) settingsFile(n *node, service tracer.Service, region tracer.Region, zone string) (string, error) {
 	content, err := json.Marshal(processDocument{
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -315,8 +315,12 @@
 
 // QueueTimeout returns how long the call may wait for a slot now.
 func (a *Admitter) QueueTimeout(now time.Time, ticket *Ticket) time.Duration {
+	return a.queueTimeout(ticket, a.callTime(now))
+}
+
+func (a *Admitter) queueTimeout(ticket *Ticket, callTime time.Duration) time.Duration {
 	share := waitShare[min(int(ticket.Priority.Criticality()), len(waitShare)-1)]
-	return max(a.config.QueueTimeout, time.Duration(share*float64(a.callTime(now))))
+	return max(a.config.QueueTimeout, time.Duration(share*float64(callTime)))
 }
 
 // expire refuses queued calls that waited too long.
@@ -324,13 +328,14 @@
 	if a.switches.NoExpiry {
 		return
 	}
+	callTime := a.callTime(now)
 	for i := len(a.queue) - 1; i >= 0; i-- {
 		ticket := a.queue[i]
 		waited := now.Sub(ticket.arrived)
 		if waited >= a.config.QueueTimeout {
 			a.threshold.Saturated()
 		}
-		if waited < a.QueueTimeout(now, ticket) && !a.hopeless(now, ticket) {
+		if waited < a.queueTimeout(ticket, callTime) && !a.hopeless(now, ticket) {
 			continue
 		}
 		a.remove(i)
