--- a/internal/cli/commander/client.go
+++ b/internal/cli/commander/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/administrator"
+	"github.com/laburnumshelf/laburnumshelf/platform"
 )
 
 // requestTimeout bounds one request of an operator's command.
@@ -28,9 +29,7 @@
 }
 
 func (o logOptions) client() logclient.Log {
-	return logclient.NewHTTP(o.Log, &http.Client{
-		Timeout: requestTimeout,
-	})
+	return platform.NewStore(o.Log)
 }
 
 // nodeOptions are the flags of commands that ask a node.
--- a/internal/cli/commander/cmd_node.go
+++ b/internal/cli/commander/cmd_node.go
@@ -28,7 +28,7 @@
 
 type nodeRun struct {
 	env            *environment
-	Config         string   `long:"config" value-name:"FILE" required:"true" description:"Process settings, JSON with comments"`
+	Config         string   `long:"config" value-name:"FILE" env:"LABURNUMSHELF_CONFIG" required:"true" description:"Process settings, JSON with comments"`
 	CallAddress    string   `long:"call-address" value-name:"IP:PORT" description:"Override callAddress"`
 	AdminAddress   string   `long:"admin-address" value-name:"IP:PORT" description:"Override adminAddress"`
 	PeerAddress    string   `long:"peer-address" value-name:"IP:PORT" description:"Override peerAddress"`
--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -1,20 +1,30 @@
 // Package forwarder runs calls at the local backend server over HTTP.
 //
+// It owns its connections, because a backend server may be faulty: it may send
+// bytes that are no answer, answers to earlier requests, or cut an answer off.
+// An answer is taken only when it repeats the call's request ID and is whole.
+//
 // # Usage
 //
-//	backend := forwarder.New(address, 110, forwarder.Dial(time.Second))
+//	backend := forwarder.New(forwarder.Config{
+//		Address:     address,
+//		Connections: 110,
+//		Dial:        forwarder.Dial(time.Second),
+//		Dialect:     labeler.Own(),
+//	})
 //	answer, err := backend.Do(ctx, call)
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
+	"net/url"
 	"strconv"
-	"sync/atomic"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,93 +44,172 @@
 	return dialer.DialContext
 }
 
+// Config is what a Forwarder needs.
+type Config struct {
+	Address netip.AddrPort
+	// Connections bounds the connections to the backend server.
+	Connections int
+	Dial        DialFunc
+	Dialect     labeler.Dialect
+	// ReadAhead is the size up to which an answer is read whole before it is
+	// passed on, so that a broken one can still be replaced; 0 passes every
+	// answer on as it comes.
+	ReadAhead int64
+}
+
 // Forwarder is a caller.Backend over HTTP.
 type Forwarder struct {
-	address   netip.AddrPort
-	transport *http.Transport
+	config Config
+	pool   *pool
 }
 
 var _ caller.Backend = (*Forwarder)(nil)
 
-const idleTimeout = 90 * time.Second
-
-// New returns a Forwarder to the backend server at address that keeps up to
-// connections idle, because new ones are costly for the backend server.
-func New(address netip.AddrPort, connections int, dial DialFunc) *Forwarder {
+// New returns a Forwarder without connections.
+func New(config Config) *Forwarder {
 	return &Forwarder{
-		address: address,
-		transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConns:        connections,
-			MaxIdleConnsPerHost: connections,
-			MaxConnsPerHost:     connections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
+		config: config,
+		pool:   newPool(config),
 	}
 }
 
-// Close releases idle connections.
+// Close closes idle connections.
 func (f *Forwarder) Close() {
-	f.transport.CloseIdleConnections()
+	f.pool.close()
 }
 
 // Do implements caller.Backend.
 func (f *Forwarder) Do(ctx context.Context, call *caller.Call) (*caller.Answer, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			connected.Store(true)
-		},
-	}
-	req, err := f.request(httptrace.WithClientTrace(ctx, trace), call)
+	req, err := f.request(call)
 	if err != nil {
 		return nil, caller.NotSent(err)
 	}
-	resp, err := f.transport.RoundTrip(req)
+	c, err := f.pool.take(ctx)
 	if err != nil {
-		if !connected.Load() {
-			return nil, caller.NotSent(errors.Wrap(err, "reach backend server"))
-		}
-		return nil, errors.Wrap(err, "call backend server")
+		return nil, caller.NotSent(errors.Wrap(err, "reach backend server"))
 	}
-	h := resp.Header
-	labeler.RemoveHopByHop(h)
-	if resp.ContentLength >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	resp, err := c.exchange(ctx, req, func(resp *http.Response) error {
+		return f.check(resp, call)
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "call backend server")
 	}
-	return &caller.Answer{
-		Status: resp.StatusCode,
-		Header: h,
-		Body:   resp.Body,
-	}, nil
+	return f.answer(resp)
 }
 
-func (f *Forwarder) request(ctx context.Context, call *caller.Call) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+f.address.String()+call.Path, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+// request returns the request for a call. Its path is sent as it was received.
+func (f *Forwarder) request(call *caller.Call) (*http.Request, error) {
+	target := &url.URL{
+		Scheme: "http",
+		Host:   f.config.Address.String(),
+		Opaque: call.Path,
+	}
+	if !strings.HasPrefix(call.Path, "/") || strings.HasPrefix(call.Path, "//") {
+		parsed, err := url.Parse("http://" + f.config.Address.String() + call.Path)
+		if err != nil {
+			return nil, errors.Wrap(err, "build request")
+		}
+		target = parsed
+	}
+	req := &http.Request{
+		Method: call.Method,
+		URL:    target,
+		Host:   target.Host,
+		Header: call.Header.Clone(),
 	}
-	req.Header = call.Header.Clone()
 	if req.Header == nil {
 		req.Header = make(http.Header)
 	}
-	labeler.SetContext(req.Header, call)
+	f.config.Dialect.SetContext(req.Header, call)
+	if _, named := req.Header["User-Agent"]; !named {
+		// Keeps the request writer from naming one.
+		req.Header.Set("User-Agent", "")
+	}
 	if host := req.Header.Get("Host"); host != "" {
 		req.Host = host
 		req.Header.Del("Host")
 	}
-	f.setBody(req, call)
+	if size := call.Body.Size(); size != 0 {
+		req.Body = io.NopCloser(call.Body.Reader())
+		req.ContentLength = size
+	}
 	return req, nil
 }
 
-// setBody sets a body that the transport cannot send a second time, so that it
-// never repeats a request of its own accord.
-func (f *Forwarder) setBody(req *http.Request, call *caller.Call) {
-	size := call.Body.Size()
-	if size == 0 && call.Token == nil {
-		return
+// errNotOurs marks an answer to another request.
+var errNotOurs = errors.New("answer belongs to another request")
+
+// check tells whether an answer is the call's.
+func (f *Forwarder) check(resp *http.Response, call *caller.Call) error {
+	dialect := f.config.Dialect
+	if dialect.Proof == "" {
+		return nil
+	}
+	if id := resp.Header.Get(dialect.RequestID); id != call.RequestID {
+		return errors.Wrapf(errNotOurs, "request ID %q", id)
+	}
+	success := resp.StatusCode/100 == 2
+	if success && (resp.Header.Get(dialect.Proof) == "" || resp.Header.Get("Content-Encoding") != "") {
+		return errors.Newf("answer %d is not what the backend server made: no %s, or encoded", resp.StatusCode, dialect.Proof)
+	}
+	return nil
+}
+
+// answer turns a response into an answer.
+func (f *Forwarder) answer(resp *http.Response) (*caller.Answer, error) {
+	answer := &caller.Answer{
+		Status:  resp.StatusCode,
+		Header:  resp.Header,
+		Body:    resp.Body,
+		Arrived: true,
+	}
+	if refused := f.config.Dialect.Refused; refused != nil && refused(resp.StatusCode, resp.Header) {
+		// Closing the body returns the connection, if it is whole.
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		answer.Body = nil
+		answer.Outcome = caller.NotRun
+		answer.Reason = caller.ReasonRefusedByBackend
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			answer.Reason = caller.ReasonIncarnation
+		}
+		return answer, nil
+	}
+	labeler.RemoveHopByHop(answer.Header)
+	if err := f.readAhead(answer, resp); err != nil {
+		return nil, errors.Wrap(err, "read answer of backend server")
+	}
+	if resp.ContentLength >= 0 {
+		answer.Header.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	return answer, nil
+}
+
+// readAhead reads a small answer whole.
+func (f *Forwarder) readAhead(answer *caller.Answer, resp *http.Response) error {
+	if f.config.ReadAhead == 0 || resp.ContentLength > f.config.ReadAhead {
+		return nil
+	}
+	content, err := io.ReadAll(io.LimitReader(resp.Body, f.config.ReadAhead+1))
+	if err != nil {
+		resp.Body.Close()
+		return err
 	}
-	req.Body = io.NopCloser(call.Body.Reader())
-	req.ContentLength = size
+	if int64(len(content)) > f.config.ReadAhead {
+		answer.Body = prefixed{
+			Reader: io.MultiReader(bytes.NewReader(content), resp.Body),
+			Closer: resp.Body,
+		}
+		return nil
+	}
+	resp.Body.Close()
+	resp.ContentLength = int64(len(content))
+	answer.Body = io.NopCloser(bytes.NewReader(content))
+	return nil
+}
+
+// prefixed is a body whose beginning was read already.
+type prefixed struct {
+	io.Reader
+	io.Closer
 }
--- a/internal/connection/labeler/labeler.go
+++ b/internal/connection/labeler/labeler.go
@@ -4,7 +4,8 @@
 // # Usage
 //
 //	id := req.Header.Get(labeler.RequestID)
-//	labeler.SetContext(req.Header, call)
+//	dialect := labeler.Own()
+//	dialect.SetContext(req.Header, call)
 package labeler
 
 import (
@@ -15,8 +16,8 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 )
 
-// The headers. Parent is sent to a backend server with each call; it copies the
-// header to the calls that it makes for it.
+// The headers of the product's own interface. Parent is sent to a backend server
+// with each call; it copies the header to the calls that it makes for it.
 const (
 	Service     = "Shelf-Service"
 	RequestID   = "Shelf-Request-Id"
@@ -29,6 +30,65 @@
 	Attempt     = "Shelf-Attempt"
 )
 
+// Dialect is the headers that a kind of backend server understands. Headers
+// without a name are not used.
+type Dialect struct {
+	RequestID   string
+	Parent      string
+	Timeout     string
+	Criticality string
+	// Instance names the backend server that a request is meant for.
+	Instance string
+	// CallerService names the service at whose node a request began.
+	CallerService string
+	// Proof is on every whole answer of success; backend servers that set it
+	// also repeat RequestID on each answer.
+	Proof         string
+	ParseTimeout  func(text string) (time.Duration, error)
+	FormatTimeout func(timeout time.Duration) string
+	// Refused reports whether an answer promises that the request did not run;
+	// nil means that no answer does.
+	Refused func(status int, header http.Header) bool
+}
+
+// Own returns the dialect of the product's own interface.
+func Own() Dialect {
+	return Dialect{
+		RequestID:     RequestID,
+		Parent:        Parent,
+		Timeout:       Timeout,
+		Criticality:   Criticality,
+		ParseTimeout:  time.ParseDuration,
+		FormatTimeout: time.Duration.String,
+	}
+}
+
+// SetContext sets the headers that tell a backend server about its call.
+func (d Dialect) SetContext(h http.Header, call *caller.Call) {
+	d.Strip(h)
+	for name, value := range map[string]string{
+		d.RequestID:     call.RequestID,
+		d.Parent:        call.CallID,
+		d.Timeout:       d.FormatTimeout(time.Until(call.Deadline)),
+		d.Criticality:   call.Priority.Criticality().String(),
+		d.Instance:      call.Instance,
+		d.CallerService: call.CallerService,
+	} {
+		if name != "" && value != "" {
+			h.Set(name, value)
+		}
+	}
+}
+
+// Strip removes the headers that only nodes may set.
+func (d Dialect) Strip(h http.Header) {
+	for _, name := range []string{d.Parent, d.Criticality, d.Instance, d.CallerService, Token, Service} {
+		if name != "" {
+			h.Del(name)
+		}
+	}
+}
+
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
@@ -45,13 +105,3 @@
 		h.Del(name)
 	}
 }
-
-// SetContext sets the headers that tell a backend server about its call.
-func SetContext(h http.Header, call *caller.Call) {
-	h.Set(RequestID, call.RequestID)
-	h.Set(Parent, call.CallID)
-	h.Set(Timeout, time.Until(call.Deadline).String())
-	h.Set(Criticality, call.Priority.Criticality().String())
-	h.Del(Token)
-	h.Del(Service)
-}
--- a/internal/connection/translator/translator.go
+++ b/internal/connection/translator/translator.go
@@ -20,23 +20,25 @@
 // time, so that the clocks of two nodes need not agree.
 func CallHead(call *caller.Call, now time.Time) *encoder.CallHead {
 	return &encoder.CallHead{
-		RequestId:    call.RequestID,
-		CallId:       call.CallID,
-		Team:         call.Service.Team,
-		Service:      call.Service.Name,
-		Route:        call.Route,
-		Method:       call.Method,
-		Path:         call.Path,
-		Headers:      headers(call.Header),
-		Priority:     uint32(call.Priority),
-		TimeoutNanos: int64(call.Deadline.Sub(now)),
-		Allowance:    call.Allowance,
-		Hop:          call.Hop,
-		Charged:      call.Charged,
-		Token:        call.Token,
-		ResolveOnly:  call.ResolveOnly,
-		Zone:         call.Zone,
-		Attempt:      call.Attempt,
+		RequestId:     call.RequestID,
+		CallId:        call.CallID,
+		Team:          call.Service.Team,
+		Service:       call.Service.Name,
+		Route:         call.Route,
+		Method:        call.Method,
+		Path:          call.Path,
+		Headers:       headers(call.Header),
+		Priority:      uint32(call.Priority),
+		TimeoutNanos:  int64(call.Deadline.Sub(now)),
+		Allowance:     call.Allowance,
+		Hop:           call.Hop,
+		Charged:       call.Charged,
+		Token:         call.Token,
+		ResolveOnly:   call.ResolveOnly,
+		Zone:          call.Zone,
+		Attempt:       call.Attempt,
+		Instance:      call.Instance,
+		CallerService: call.CallerService,
 	}
 }
 
@@ -49,20 +51,22 @@
 			Team: head.GetTeam(),
 			Name: head.GetService(),
 		},
-		Route:       head.GetRoute(),
-		Method:      head.GetMethod(),
-		Path:        head.GetPath(),
-		Header:      header(head.GetHeaders()),
-		Priority:    caller.Priority(min(head.GetPriority(), caller.PriorityLevels-1)),
-		Idempotent:  head.GetToken() == nil,
-		Deadline:    now.Add(time.Duration(head.GetTimeoutNanos())),
-		Allowance:   head.GetAllowance(),
-		Hop:         head.GetHop(),
-		Charged:     head.GetCharged(),
-		Attempt:     head.GetAttempt(),
-		Token:       head.GetToken(),
-		ResolveOnly: head.GetResolveOnly(),
-		Zone:        head.GetZone(),
+		Route:         head.GetRoute(),
+		Method:        head.GetMethod(),
+		Path:          head.GetPath(),
+		Header:        header(head.GetHeaders()),
+		Priority:      caller.Priority(min(head.GetPriority(), caller.PriorityLevels-1)),
+		Idempotent:    head.GetToken() == nil,
+		Deadline:      now.Add(time.Duration(head.GetTimeoutNanos())),
+		Allowance:     head.GetAllowance(),
+		Hop:           head.GetHop(),
+		Charged:       head.GetCharged(),
+		Attempt:       head.GetAttempt(),
+		Token:         head.GetToken(),
+		ResolveOnly:   head.GetResolveOnly(),
+		Zone:          head.GetZone(),
+		Instance:      head.GetInstance(),
+		CallerService: head.GetCallerService(),
 	}
 }
 
@@ -84,6 +88,7 @@
 		Successor:       answer.Successor,
 		RetryAfterNanos: int64(answer.RetryAfter),
 		Detail:          answer.Detail,
+		Arrived:         answer.Arrived,
 	}
 }
 
@@ -106,6 +111,7 @@
 		Successor:     head.GetSuccessor(),
 		RetryAfter:    time.Duration(head.GetRetryAfterNanos()),
 		Detail:        head.GetDetail(),
+		Arrived:       head.GetArrived(),
 	}
 }
 
--- a/internal/platform/logserver/logserver.go
+++ b/internal/platform/logserver/logserver.go
@@ -1,5 +1,5 @@
-// Package logserver is a small stand-in for the platform's append-only log,
-// with limited retention and faults that tests and experiments set.
+// Package logserver is a small stand-in for the platform's store, with limited
+// retention and faults that tests and experiments set.
 //
 // # Usage
 //
@@ -11,14 +11,10 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/labstack/echo/v4"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 )
@@ -52,9 +48,15 @@
 type stream struct {
 	earliest int64
 	records  []logclient.Record
+	// times holds when each record was appended.
+	times []time.Time
+	// newest holds the newest value of each key of a table.
+	newest map[string][]byte
+	// grown is closed at the next append.
+	grown chan struct{}
 }
 
-var _ logclient.Log = (*Store)(nil)
+var _ logclient.Store = (*Store)(nil)
 
 // New returns an empty Store.
 func New(retention Retention) *Store {
@@ -86,14 +88,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appends++
-	st := s.stream(name)
-	offset := st.earliest + int64(len(st.records))
-	st.records = append(st.records, logclient.Record{
-		Offset:  offset,
-		Time:    time.Now(),
-		Payload: payload,
-	})
-	s.trim(st)
+	offset := s.stream(name).append(payload)
+	s.trim(s.stream(name))
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 		return 0, errors.Mark(errors.New("answer lost"), logclient.ErrOutcomeUnknown)
@@ -124,6 +120,19 @@
 	return batch, nil
 }
 
+// append adds a record and returns its offset.
+func (s *stream) append(payload []byte) int64 {
+	offset := s.earliest + int64(len(s.records))
+	s.records = append(s.records, logclient.Record{
+		Offset:  offset,
+		Payload: payload,
+	})
+	s.times = append(s.times, time.Now())
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
 // wait applies the delay and outage faults.
 func (s *Store) wait(ctx context.Context) error {
 	s.mu.Lock()
@@ -145,7 +154,10 @@
 func (s *Store) stream(name string) *stream {
 	st := s.streams[name]
 	if st == nil {
-		st = &stream{}
+		st = &stream{
+			newest: make(map[string][]byte),
+			grown:  make(chan struct{}),
+		}
 		s.streams[name] = st
 	}
 	return st
@@ -157,67 +169,11 @@
 		drop = max(len(st.records)-s.retention.MaxRecords, 0)
 	}
 	if s.retention.MaxAge > 0 {
-		for drop < len(st.records) && time.Since(st.records[drop].Time) > s.retention.MaxAge {
+		for drop < len(st.records) && time.Since(st.times[drop]) > s.retention.MaxAge {
 			drop++
 		}
 	}
 	st.records = st.records[drop:]
+	st.times = st.times[drop:]
 	st.earliest += int64(drop)
 }
-
-const defaultReadLimit = 100
-
-// Handler serves the store over HTTP, and its faults under /faults.
-func (s *Store) Handler() http.Handler {
-	e := echo.New()
-	e.HideBanner = true
-	e.POST("/streams/:stream/records", s.handleAppend)
-	e.GET("/streams/:stream/records", s.handleRead)
-	e.PUT("/faults", s.handleFaults)
-	return e
-}
-
-func (s *Store) handleAppend(c echo.Context) error {
-	payload, err := io.ReadAll(io.LimitReader(c.Request().Body, logclient.MaxRecordBytes+1))
-	if err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
-	}
-	if len(payload) > logclient.MaxRecordBytes {
-		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, "record exceeds the size limit")
-	}
-	offset, err := s.Append(c.Request().Context(), c.Param("stream"), payload)
-	if errors.Is(err, logclient.ErrOutcomeUnknown) {
-		panic(http.ErrAbortHandler)
-	}
-	if err != nil {
-		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
-	}
-	return c.JSON(http.StatusCreated, logclient.Appended{
-		Offset: offset,
-	})
-}
-
-func (s *Store) handleRead(c echo.Context) error {
-	from, err := strconv.ParseInt(c.QueryParam("from"), 10, 64)
-	if err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, "from is not an offset")
-	}
-	limit, err := strconv.Atoi(c.QueryParam("limit"))
-	if err != nil || limit <= 0 {
-		limit = defaultReadLimit
-	}
-	batch, err := s.Read(c.Request().Context(), c.Param("stream"), from, limit)
-	if err != nil {
-		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
-	}
-	return c.JSON(http.StatusOK, batch)
-}
-
-func (s *Store) handleFaults(c echo.Context) error {
-	var faults Faults
-	if err := c.Bind(&faults); err != nil {
-		return err
-	}
-	s.SetFaults(faults)
-	return c.NoContent(http.StatusNoContent)
-}
--- /dev/null
+++ b/internal/platform/logserver/table.go
@@ -0,0 +1,122 @@
+package logserver
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
+	"github.com/laburnumshelf/laburnumshelf/platform"
+)
+
+// Put implements logclient.Table.
+func (s *Store) Put(ctx context.Context, table, key string, value []byte) error {
+	record, err := platform.EncodeKeyed(key, value)
+	if err != nil {
+		return err
+	}
+	_, err = s.appendTopic(ctx, platform.KeyedPrefix+table, record)
+	return err
+}
+
+// appendTopic appends a record to a stream, or sets the key that it holds.
+func (s *Store) appendTopic(ctx context.Context, topic string, payload []byte) (int64, error) {
+	offset, err := s.Append(ctx, topic, payload)
+	written := err == nil || errors.Is(err, logclient.ErrOutcomeUnknown)
+	if !written || !strings.HasPrefix(topic, platform.KeyedPrefix) {
+		return offset, err
+	}
+	key, value, keyErr := platform.DecodeKeyed(payload)
+	if keyErr != nil {
+		return 0, keyErr
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stream(topic).set(key, value)
+	return offset, err
+}
+
+// set keeps the newest value of a key.
+func (s *stream) set(key string, value []byte) {
+	if len(value) == 0 {
+		delete(s.newest, key)
+		return
+	}
+	s.newest[key] = value
+}
+
+// Newest implements logclient.Table.
+func (s *Store) Newest(ctx context.Context, table string) (logclient.Entries, error) {
+	if err := s.wait(ctx); err != nil {
+		return logclient.Entries{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	st := s.stream(platform.KeyedPrefix + table)
+	entries := logclient.Entries{
+		Next: st.earliest + int64(len(st.records)),
+	}
+	for _, key := range slices.Sorted(maps.Keys(st.newest)) {
+		entries.Entries = append(entries.Entries, logclient.Entry{
+			Key:   key,
+			Value: st.newest[key],
+		})
+	}
+	return entries, nil
+}
+
+// Changes implements logclient.Table.
+func (s *Store) Changes(ctx context.Context, table string, from int64, wait time.Duration) (logclient.Entries, error) {
+	batch, err := s.readWaiting(ctx, platform.KeyedPrefix+table, from, wait)
+	if err != nil {
+		return logclient.Entries{}, err
+	}
+	entries := logclient.Entries{
+		Next: from + int64(len(batch.Records)),
+	}
+	for _, record := range batch.Records {
+		key, value, err := platform.DecodeKeyed(record.Payload)
+		if err != nil {
+			return logclient.Entries{}, err
+		}
+		entries.Entries = append(entries.Entries, logclient.Entry{
+			Key:   key,
+			Value: value,
+		})
+	}
+	return entries, nil
+}
+
+// readWaiting reads from an offset that must still be kept, and waits for a
+// record there.
+func (s *Store) readWaiting(ctx context.Context, name string, from int64, wait time.Duration) (logclient.Batch, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		s.mu.Lock()
+		grown := s.stream(name).grown
+		s.mu.Unlock()
+		batch, err := s.Read(ctx, name, from, maxReadRecords)
+		if err != nil {
+			return logclient.Batch{}, err
+		}
+		if from < batch.Earliest {
+			return batch, logclient.ErrCompacted
+		}
+		if len(batch.Records) > 0 || wait == 0 {
+			return batch, nil
+		}
+		select {
+		case <-grown:
+		case <-deadline.C:
+			return batch, nil
+		case <-ctx.Done():
+			return logclient.Batch{}, ctx.Err()
+		}
+	}
+}
--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -1,8 +1,9 @@
 // Package announcer runs the membership protocol over UDP and tells its owner
 // what changed.
 //
-// The first contact comes from addresses in the process settings and from
-// announcements on the platform's log, so that it works while the log is away.
+// The first contact comes from addresses in the process settings and from the
+// announcements in a table of the platform's store, so that it works while the
+// store is away.
 //
 // # Usage
 //
@@ -14,7 +15,6 @@
 import (
 	"context"
 	"expvar"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -29,21 +29,15 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
-// Stream is the name of the announcement stream on the platform's log.
-const Stream = "laburnumshelf-members"
+// Members is the name of the table of announcements in the platform's store.
+const Members = "laburnumshelf-members"
 
 // Announcement parameters.
 const (
-	// tailRecords is the number of announcements read for the first contact.
-	tailRecords = 200
-	// contactPeriod is the time between two reads while alone.
-	contactPeriod = 5 * time.Second
-	// announcePeriod is the time between two announcements of one node.
-	announcePeriod = 10 * time.Minute
-	// startPeriod is the time after the start in which contacts are read again
-	// and again, since others may have started at the same time.
-	startPeriod    = time.Minute
-	logTimeout     = 5 * time.Second
+	// contactPeriod is the time between two reads while alone, and between two
+	// tries while the store is away.
+	contactPeriod  = 2 * time.Second
+	storeTimeout   = 2 * time.Second
 	maxPacketBytes = 64 << 10
 )
 
@@ -53,8 +47,8 @@
 type Config struct {
 	Self *encoder.Member
 	Conn net.PacketConn
-	// Log may be nil.
-	Log      logclient.Log
+	// Store may be nil.
+	Store    logclient.Table
 	Contacts []netip.AddrPort
 	// OnChange is called with each member that changed.
 	OnChange func(member *encoder.Member)
@@ -108,6 +102,14 @@
 	a.table.Leave(time.Now())
 }
 
+// SetBackend announces what the local backend server said of itself.
+func (a *Announcer) SetBackend(backend *encoder.Backend, slots uint32) {
+	a.step(func(table *gossiper.Table) []gossiper.Outgoing {
+		table.SetBackend(time.Now(), backend, slots)
+		return nil
+	})
+}
+
 // SetVersion announces the settings version in force.
 func (a *Announcer) SetVersion(version int64) {
 	a.mu.Lock()
@@ -182,64 +184,59 @@
 	}
 }
 
-// contactLoop announces the node on the log and reads contacts from it while
-// the node is alone.
+// contactLoop announces the node once and then reads the other announcements.
+// Of any two nodes the one that reads later sees the other, so one read is enough
+// for nodes that start at the same time. It reads again while the node is alone.
 func (a *Announcer) contactLoop(ctx context.Context) {
-	if a.config.Log == nil {
+	if a.config.Store == nil {
 		return
 	}
-	started, announced := time.Now(), time.Time{}
+	announced, read := false, false
 	for {
-		again := time.Since(started) < startPeriod || len(a.Members()) < 2
-		if time.Since(announced) >= announcePeriod && a.announce(ctx) == nil {
-			// The jitter keeps nodes that started together from staying so.
-			announced = time.Now().Add(rand.N(announcePeriod / 4))
-			again = true
-		}
-		if again {
-			a.readContacts(ctx)
+		announced = announced || a.announce(ctx) == nil
+		if !read || len(a.Members()) < 2 {
+			read = a.readContacts(ctx) == nil && announced
 		}
+		pause := contactPeriod/2 + rand.N(contactPeriod)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(contactPeriod/2 + rand.N(contactPeriod)):
+		case <-time.After(pause):
 		}
 	}
 }
 
 func (a *Announcer) announce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	payload, err := proto.Marshal(a.config.Self)
 	if err != nil {
 		return errors.Wrap(err, "encode announcement")
 	}
-	_, err = a.config.Log.Append(ctx, Stream, payload)
-	return err
+	return a.config.Store.Put(ctx, Members, a.config.Self.GetId(), payload)
 }
 
-func (a *Announcer) readContacts(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+func (a *Announcer) readContacts(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	end, err := a.config.Log.Read(ctx, Stream, math.MaxInt64, 1)
-	if err != nil {
-		return
-	}
-	batch, err := a.config.Log.Read(ctx, Stream, max(end.Next-tailRecords, 0), tailRecords)
+	entries, err := a.config.Store.Newest(ctx, Members)
 	if err != nil {
-		return
+		return err
 	}
-	for _, record := range batch.Records {
+	for _, entry := range entries.Entries {
 		member := &encoder.Member{}
-		if proto.Unmarshal(record.Payload, member) != nil {
+		if err := proto.Unmarshal(entry.Value, member); err != nil {
+			badPackets.Add(1)
 			continue
 		}
 		address, err := netip.ParseAddrPort(member.GetPeerAddress())
 		if err != nil {
+			badPackets.Add(1)
 			continue
 		}
 		a.mu.Lock()
 		a.table.AddContacts(address)
 		a.mu.Unlock()
 	}
+	return nil
 }
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -24,6 +24,9 @@
 	maxDecisionsKept     = 10_000_000
 	minStopTimeout       = time.Second
 	maxStopTimeout       = 24 * time.Hour
+	minHeartbeat         = 10 * time.Millisecond
+	maxHeartbeat         = time.Hour
+	defaultHeartbeat     = 1500 * time.Millisecond
 )
 
 // Config is the process settings of one node.
@@ -42,6 +45,9 @@
 	PeerAddress netip.AddrPort
 	// BackendAddress is the local backend server.
 	BackendAddress netip.AddrPort
+	// Platform is set where clients, backend servers and operators speak the
+	// users' platform.
+	Platform *Platform
 	// Slots is the number of calls the backend server runs at once.
 	Slots int
 	// Connections bounds the connections to the backend server.
@@ -55,6 +61,16 @@
 	DecisionsKept int
 }
 
+// Platform is the process settings that the users' platform needs.
+type Platform struct {
+	// ReadinessAddress is where the platform asks whether the node is ready.
+	ReadinessAddress netip.AddrPort
+	// RegistryAddress is where the local backend server sends its heartbeats.
+	RegistryAddress netip.AddrPort
+	// HeartbeatInterval is the time between two heartbeats.
+	HeartbeatInterval time.Duration
+}
+
 // Parse reads process settings; file names them in findings.
 func Parse(file string, content []byte) (Config, parser.Findings) {
 	root, findings := parser.Parse(file, content)
@@ -62,7 +78,7 @@
 		return Config{}, findings
 	}
 	object := root.Object("id", "region", "zone", "service", "callAddress", "adminAddress", "peerAddress",
-		"backendAddress", "slots", "connections", "logUrl", "contacts", "stopTimeout", "logLevel", "decisionsKept")
+		"backendAddress", "slots", "connections", "logUrl", "contacts", "stopTimeout", "logLevel", "decisionsKept", "platform")
 	object.Require("id", "region", "zone", "service", "callAddress", "adminAddress", "peerAddress", "backendAddress")
 	config := Config{
 		ID:             object.String("id", ""),
@@ -83,6 +99,9 @@
 		config.Contacts = append(config.Contacts, contact.Address())
 	}
 	config.Service = readService(object)
+	if field := object.Field("platform"); field != nil {
+		config.Platform = readPlatform(field)
+	}
 	if field := object.Field("id"); field != nil && config.ID == "" {
 		field.Reportf("id is empty")
 	}
@@ -91,6 +110,16 @@
 	return config, findings
 }
 
+func readPlatform(node *parser.Node) *Platform {
+	object := node.Object("readinessAddress", "registryAddress", "heartbeatInterval")
+	object.Require("readinessAddress", "registryAddress")
+	return &Platform{
+		ReadinessAddress:  object.Address("readinessAddress"),
+		RegistryAddress:   object.Address("registryAddress"),
+		HeartbeatInterval: object.Duration("heartbeatInterval", minHeartbeat, maxHeartbeat, defaultHeartbeat),
+	}
+}
+
 func readService(object parser.Object) describer.ServiceName {
 	field := object.Field("service")
 	if field == nil {
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -202,6 +202,14 @@
 	t.announce(now, encoder.MemberState_LEAVING)
 }
 
+// SetBackend announces what the local backend server said of itself.
+func (t *Table) SetBackend(now time.Time, backend *encoder.Backend, slots uint32) {
+	t.self.member = proto.Clone(t.self.member).(*encoder.Member)
+	t.self.member.Backend = backend
+	t.self.member.Slots = slots
+	t.announce(now, t.self.member.GetState())
+}
+
 // SetVersion announces the settings version in force at this node.
 func (t *Table) SetVersion(version int64) {
 	if version > t.version {
--- a/internal/process/runner/drain.go
+++ b/internal/process/runner/drain.go
@@ -41,9 +41,16 @@
 		close(lingered)
 	})
 	defer linger.Stop()
-	for _, step := range []<-chan struct{}{n.executor.Idle(), n.callsIdle(ctx), lingered} {
+	// Callers may send requests while the node lingers, so the waits for open
+	// calls begin after it.
+	steps := []func() <-chan struct{}{
+		func() <-chan struct{} { return lingered },
+		n.executor.Idle,
+		func() <-chan struct{} { return n.callsIdle(ctx) },
+	}
+	for _, step := range steps {
 		select {
-		case <-step:
+		case <-step():
 		case <-timeout.C:
 			n.reportCut("stop timeout")
 			return nil
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -31,6 +31,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/process/administrator"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/announcer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/enroller"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/synchronizer"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/dispatcher"
@@ -40,13 +41,14 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/watcher"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+	"github.com/laburnumshelf/laburnumshelf/platform"
 )
 
 // Process parameters.
 const (
 	dialTimeout = time.Second
-	logTimeout  = 10 * time.Second
 	// leaveTime is the time for which a leaving node stays reachable, so that
 	// its announcement arrives everywhere.
 	leaveTime = 3 * time.Second
@@ -68,6 +70,10 @@
 	announcer  *announcer.Announcer
 	sync       *synchronizer.Synchronizer
 
+	// watcher and enroller run on the users' platform only.
+	watcher  *watcher.Watcher
+	enroller *enroller.Enroller
+
 	listeners   listeners
 	callHandler http.Handler
 	// openCalls counts the callers' requests that are not answered in full.
@@ -81,6 +87,9 @@
 	admin net.Listener
 	peers net.Listener
 	udp   net.PacketConn
+	// readiness and registry are open on the users' platform only.
+	readiness net.Listener
+	registry  net.Listener
 }
 
 // listen opens all sockets, or none.
@@ -102,11 +111,22 @@
 		l.close()
 		return l, errors.Wrap(err, "peerAddress")
 	}
+	if config.Platform == nil {
+		return l, nil
+	}
+	if l.readiness, err = net.Listen("tcp", config.Platform.ReadinessAddress.String()); err != nil {
+		l.close()
+		return l, errors.Wrap(err, "readinessAddress")
+	}
+	if l.registry, err = net.Listen("tcp", config.Platform.RegistryAddress.String()); err != nil {
+		l.close()
+		return l, errors.Wrap(err, "registryAddress")
+	}
 	return l, nil
 }
 
 func (l listeners) close() {
-	for _, listener := range []net.Listener{l.calls, l.admin, l.peers} {
+	for _, listener := range []net.Listener{l.calls, l.admin, l.peers, l.readiness, l.registry} {
 		if listener != nil {
 			listener.Close()
 		}
@@ -137,6 +157,7 @@
 			Team:        config.Service.Team,
 			Service:     config.Service.Name,
 			Slots:       uint32(config.Slots),
+			Registers:   config.Platform != nil,
 		},
 	}
 	n.assemble()
@@ -146,25 +167,24 @@
 // assemble builds the parts from the request to the process.
 func (n *Node) assemble() {
 	config := n.config
-	var platform logclient.Log
+	var store logclient.Store
 	if config.LogURL != "" {
-		platform = logclient.NewHTTP(config.LogURL, &http.Client{
-			Timeout: logTimeout,
-		})
+		store = platform.NewStore(config.LogURL)
 	}
 	seed := rand.NewPCG(n.self.GetIncarnation(), uint64(len(config.ID)))
 	inbound := tracker.NewTable()
-	n.follower = follower.New(platform)
+	n.follower = follower.New(n.settingsLog(store))
 	n.recorder = recorder.New(n.log, config.ID, config.DecisionsKept)
 	n.dialer = dialer.New(dialer.Config{
 		Dial: dialer.TCP(dialTimeout),
 	})
-	n.forwarder = forwarder.New(config.BackendAddress, config.Connections, forwarder.Dial(dialTimeout))
+	n.forwarder = forwarder.New(n.backendConfig())
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		NodeID:    config.ID,
 		Zone:      config.Zone,
 		Region:    config.Region,
-		Transport: n.dialer,
+		Transport: n.transport(),
+		OwnTokens: config.Platform != nil,
 		Recorder:  n.recorder,
 		Inbound:   inbound,
 		Settings:  n.settings,
@@ -175,6 +195,7 @@
 		Incarnation: n.self.GetIncarnation(),
 		Service:     config.Service,
 		Slots:       config.Slots,
+		Registers:   config.Platform != nil,
 		Backend:     n.forwarder,
 		Recorder:    n.recorder,
 		Inbound:     inbound,
@@ -190,7 +211,7 @@
 	n.announcer = announcer.New(announcer.Config{
 		Self:     n.self,
 		Conn:     n.listeners.udp,
-		Log:      platform,
+		Store:    contacts(store),
 		Contacts: config.Contacts,
 		OnChange: n.place,
 		OnVersion: func(version int64, member *encoder.Member) {
@@ -207,6 +228,9 @@
 		Log:       n.log,
 	})
 	n.handleCalls(inbound)
+	if config.Platform != nil {
+		n.assemblePlatform(store)
+	}
 }
 
 func (n *Node) handleCalls(inbound *tracker.Table) {
@@ -221,10 +245,15 @@
 		Inbound:  inbound,
 		Settings: n.settings,
 	})
-	n.callHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	n.callHandler = n.counted(calls)
+}
+
+// counted counts the open requests of a handler.
+func (n *Node) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.openCalls.Add(1)
 		defer n.openCalls.Add(-1)
-		calls.ServeHTTP(w, r)
+		handler.ServeHTTP(w, r)
 	})
 }
 
@@ -287,7 +316,7 @@
 func (n *Node) Dispatch(ctx context.Context, call *caller.Call) *caller.Answer {
 	select {
 	case <-n.draining:
-		if call.Hop == 0 && call.ParentID == "" {
+		if call.Hop == 0 && call.ParentID == "" && n.config.Platform == nil {
 			return caller.Refuse(caller.NotRun, caller.ReasonLeaving)
 		}
 	default:
@@ -315,6 +344,9 @@
 		cancel()
 		n.listeners.udp.Close()
 	})
+	if n.config.Platform != nil {
+		n.addPlatform(ctx, cancel, &group)
+	}
 	group.Add(func() error {
 		return n.sync.Run(ctx)
 	}, func(error) {
--- a/internal/process/synchronizer/synchronizer.go
+++ b/internal/process/synchronizer/synchronizer.go
@@ -173,10 +173,13 @@
 }
 
 func (s *Synchronizer) changed(before int64, source string) {
-	version := s.config.Follower.State().Version
-	if version <= before {
-		return
+	if version := s.config.Follower.State().Version; version > before {
+		s.Changed(version, source)
 	}
+}
+
+// Changed reports a version that was put in force.
+func (s *Synchronizer) Changed(version int64, source string) {
 	s.config.Log.WithFields(logrus.Fields{
 		"version": version,
 		"source":  source,
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -87,6 +87,9 @@
 	ReasonQueued
 	ReasonTooDeep
 	ReasonBulkhead
+	ReasonRefusedByBackend
+	ReasonNoSettings
+	ReasonNoRoute
 )
 
 // MaxReason is the highest reason value that fits the counters of a node; newer
@@ -99,7 +102,7 @@
 	"tokenNeeded", "tokenExpired", "incarnation", "tombstone", "tokenTableFull", "bodyBroken",
 	"timeout", "canceled", "earlyOverload", "unknownService", "badRequest", "replayed", "nearest",
 	"spill", "leastLoaded", "tokenTarget", "connectionLost", "bodyTooLarge", "admitted", "queued",
-	"tooDeep", "bulkhead",
+	"tooDeep", "bulkhead", "refusedByBackend", "noSettings", "noRoute",
 }
 
 // String returns the written name.
@@ -113,7 +116,7 @@
 // Overload reports whether the reason is a shortage of capacity at the target.
 func (r Reason) Overload() bool {
 	switch r {
-	case ReasonOverload, ReasonQueueFull, ReasonQueueTimeout, ReasonEvicted, ReasonHopeless, ReasonEarlyOverload, ReasonBulkhead:
+	case ReasonOverload, ReasonQueueFull, ReasonQueueTimeout, ReasonEvicted, ReasonHopeless, ReasonEarlyOverload, ReasonBulkhead, ReasonRefusedByBackend:
 		return true
 	default:
 		return false
@@ -177,6 +180,14 @@
 	// Attempt counts the attempts of this call, from 0.
 	Attempt uint32
 	Token   *encoder.Token
+	// MaxTargets bounds the backend servers that the call may reach; 0 leaves
+	// that to the allowance.
+	MaxTargets uint32
+	// Instance is the ID of the backend server that the call is meant for;
+	// empty means whichever the target's node is beside.
+	Instance string
+	// CallerService is the service at whose node the call began.
+	CallerService string
 	// ResolveOnly asks what became of the token's call without running it.
 	ResolveOnly bool
 	Zone        string
@@ -213,6 +224,8 @@
 	Successor  *encoder.Token
 	RetryAfter time.Duration
 	Detail     string
+	// Arrived tells that the backend server received the call.
+	Arrived bool
 	// Body is nil for refusals. Reading it to io.EOF proves that it is whole.
 	Body io.ReadCloser
 	// Unspent returns the allowance left over; it is valid after the body.
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -229,13 +229,14 @@
 	}
 }
 
-// Mint returns a new token bound to one incarnation of a target.
-func Mint(now time.Time, target string, incarnation uint64) *encoder.Token {
+// Mint returns a new token bound to one incarnation of a target, which can be
+// used for lifetime.
+func Mint(now time.Time, target string, incarnation uint64, lifetime time.Duration) *encoder.Token {
 	return &encoder.Token{
 		Target:          target,
 		Incarnation:     incarnation,
 		Id:              uuid.NewString(),
-		ExpiresUnixNano: now.Add(TokenLifetime).UnixNano(),
+		ExpiresUnixNano: now.Add(lifetime).UnixNano(),
 	}
 }
 
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -59,6 +59,10 @@
 
 func (a *attempts) takeAllowance(now time.Time) *caller.Answer {
 	resent := false
+	if a.call.MaxTargets > 0 {
+		a.grant = retrier.NewPool(nodeRetries)
+		return nil
+	}
 	if a.parent != nil {
 		a.grant = retrier.NewPool(a.parent.Pool.Take())
 	} else {
@@ -144,6 +148,10 @@
 		}
 		next, reason := a.next(ctx, answer)
 		if !next {
+			if a.mayRun && answer.Outcome == caller.NotRun {
+				// An earlier attempt may have run.
+				answer.Outcome = caller.Unknown
+			}
 			return answer
 		}
 		a.d.record(a.call, recorder.Retry, reason, answer.Outcome, "", 0)
@@ -167,6 +175,7 @@
 	call.Charged = a.call.Charged || a.mayRun
 	call.Zone = a.d.config.Zone
 	call.ResolveOnly = a.resolve > 0
+	call.Instance = target.Member.GetBackend().GetId()
 	call.Allowance = a.lend()
 	action := recorder.Route
 	if call.ResolveOnly {
@@ -307,13 +316,16 @@
 	if !a.call.Body.Replayable() && a.made > 0 {
 		return false
 	}
+	if a.call.MaxTargets > 0 && (answer.Arrived || answer.Outcome != caller.NotRun) {
+		return false
+	}
 	switch answer.Outcome {
 	case caller.NotRun:
 		if answer.Reason.Overload() {
 			return !a.d.overloaded(a.call.Service)
 		}
 		return answer.Reason == caller.ReasonLeaving || answer.Reason == caller.ReasonUnreachable ||
-			answer.Reason == caller.ReasonBackendUnreachable
+			answer.Reason == caller.ReasonBackendUnreachable || answer.Reason == caller.ReasonIncarnation
 	case caller.Answered:
 		if answer.Status != 502 && answer.Status != 503 && answer.Status != 504 {
 			return false
@@ -330,7 +342,9 @@
 		a.d.record(a.call, recorder.Refuse, caller.ReasonAllowance, caller.NotRun, "", 0)
 		return false, caller.ReasonAllowance
 	}
-	if !a.d.config.Switches.NoRetryBudget && !a.d.budget(a.call.Service).Withdraw() {
+	// A backend server that was not reached is not charged with a retry.
+	free := a.call.MaxTargets > 0
+	if !free && !a.d.config.Switches.NoRetryBudget && !a.d.budget(a.call.Service).Withdraw() {
 		a.d.record(a.call, recorder.Refuse, caller.ReasonRetryBudget, caller.NotRun, "", 0)
 		return false, caller.ReasonRetryBudget
 	}
--- a/internal/request/dispatcher/bound.go
+++ b/internal/request/dispatcher/bound.go
@@ -16,7 +16,7 @@
 	if token == nil {
 		return a.refuse(caller.NotRun, caller.ReasonNoTarget)
 	}
-	if a.parent == nil || a.parent.Call.Token == nil {
+	if !a.d.config.OwnTokens && (a.parent == nil || a.parent.Call.Token == nil) {
 		answer := a.refuse(caller.NotRun, caller.ReasonTokenNeeded)
 		answer.Successor = token
 		return answer
@@ -37,6 +37,10 @@
 	if a.exclusive() && answer.Outcome == caller.NotRun && answer.Successor == nil && !answer.Reason.Overload() {
 		return a.rebind(answer)
 	}
+	if answer.Arrived && answer.Outcome == caller.Unknown {
+		// The target's node has told all that it knows.
+		return false, 0
+	}
 	overloaded := answer.Reason.Overload() && a.d.overloaded(a.call.Service)
 	step := deduplicator.NextStep(answer, !overloaded, a.resolve < maxResolves)
 	switch {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -45,6 +45,11 @@
 	resolveLimit = time.Second
 	// maxAttempts bounds the attempts of one call whatever its allowance.
 	maxAttempts = 16
+	// ownTokenLifetime is the lifetime of tokens that stay in the node: the
+	// longest deadline of a call and the skew between clocks.
+	ownTokenLifetime = 20 * time.Second
+	// nodeRetries bounds the attempts of one call that reach no backend server.
+	nodeRetries = 3
 	// overloadedShare is the share of a service's targets that report
 	// overload from which the service as a whole counts as overloaded.
 	overloadedShare = 0.5
@@ -68,6 +73,9 @@
 	Transport caller.Transport
 	Recorder  *recorder.Recorder
 	Inbound   *tracker.Table
+	// OwnTokens binds the calls of callers that bring no token to one of the
+	// node's own: each such call is made once, by this node alone.
+	OwnTokens bool
 	Settings  func() *describer.Settings
 	Router    router.Switches
 	Switches  Switches
@@ -110,6 +118,13 @@
 	d.router.Update(time.Now(), member)
 }
 
+// Targets returns the number of targets known.
+func (d *Dispatcher) Targets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.router.Targets()
+}
+
 // MintFor returns a token bound to a target of the service other than the
 // excluded member, or nil when there is none.
 func (d *Dispatcher) MintFor(service describer.ServiceName, exclude string) *encoder.Token {
@@ -124,7 +139,11 @@
 	if target == nil {
 		return nil
 	}
-	return deduplicator.Mint(now, target.Member.GetId(), target.Member.GetIncarnation())
+	lifetime := deduplicator.TokenLifetime
+	if d.config.OwnTokens {
+		lifetime = ownTokenLifetime
+	}
+	return deduplicator.Mint(now, target.Member.GetId(), target.Member.GetIncarnation(), lifetime)
 }
 
 // Dispatch makes one call and all its attempts. The caller reads and closes the
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -37,8 +37,11 @@
 	Incarnation uint64
 	Service     describer.ServiceName
 	// Slots is the announced number of calls the backend server runs at once.
-	Slots    int
-	Backend  caller.Backend
+	Slots int
+	// Registers tells that the backend server announces itself: calls run only
+	// while SetBackend has named one that takes them.
+	Registers bool
+	Backend   caller.Backend
 	Recorder *recorder.Recorder
 	Inbound  *tracker.Table
 	Settings func() *describer.Settings
@@ -57,6 +60,9 @@
 	tokens   *deduplicator.Table
 	expected map[string]time.Duration
 	leaving  bool
+	// instance is the registered backend server; empty while there is none.
+	instance string
+	slots    int
 	open     int
 	idle     chan struct{}
 }
@@ -67,6 +73,7 @@
 		config:   config,
 		tokens:   deduplicator.New(config.ID, config.Incarnation, deduplicator.DefaultLimits()),
 		expected: make(map[string]time.Duration),
+		slots:    config.Slots,
 	}
 	e.admitter = admitter.New(e.admission(), config.Switches, time.Now())
 	return e
@@ -74,7 +81,7 @@
 
 func (e *Executor) admission() admitter.Config {
 	service := e.config.Settings().Service(e.config.Service)
-	slots := e.config.Slots
+	slots := e.slots
 	if service.MaxConcurrency > 0 {
 		slots = min(slots, service.MaxConcurrency)
 	}
@@ -99,6 +106,18 @@
 	e.leaving = true
 }
 
+// SetBackend names the registered backend server that takes new calls from now
+// on, and the calls it runs at once; an empty instance means that none does.
+func (e *Executor) SetBackend(instance string, slots int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.instance = instance
+	if slots > 0 && slots != e.slots {
+		e.slots = slots
+		e.admitter.Configure(e.admission())
+	}
+}
+
 // Idle returns a channel that is closed once no call is open.
 func (e *Executor) Idle() <-chan struct{} {
 	e.mu.Lock()
@@ -205,6 +224,13 @@
 	if reason != caller.ReasonAdmitted {
 		return e.refuseBound(call, entry, reason)
 	}
+	if !e.current(call) {
+		// The backend server left while the call was queued.
+		e.mu.Lock()
+		e.admitter.Done(time.Now(), ticket, 0, false)
+		e.mu.Unlock()
+		return e.refuseBound(call, entry, caller.ReasonLeaving)
+	}
 	e.record(call, recorder.Admit, caller.ReasonAdmitted, caller.Answered, ticket.Waited())
 	return e.run(ctx, call, entry, ticket)
 }
@@ -213,9 +239,9 @@
 // ReasonAdmitted.
 func (e *Executor) admit(ctx context.Context, call *caller.Call) (*admitter.Ticket, caller.Reason) {
 	e.mu.Lock()
-	if e.leaving {
+	if reason := e.closed(call); reason != caller.ReasonNone {
 		e.mu.Unlock()
-		return nil, caller.ReasonLeaving
+		return nil, reason
 	}
 	ticket := admitter.NewTicket(call.Route, call.Priority, call.Hop, call.Deadline, e.expected[call.Route])
 	e.admitter.Arrive(time.Now(), ticket)
@@ -228,6 +254,31 @@
 	return ticket, e.wait(ctx, ticket)
 }
 
+// closed returns why the backend server takes no new call, and sets the instance
+// that the call is sent to; e.mu is held.
+func (e *Executor) closed(call *caller.Call) caller.Reason {
+	switch {
+	case e.leaving:
+		return caller.ReasonLeaving
+	case !e.config.Registers:
+		return caller.ReasonNone
+	case e.instance == "":
+		return caller.ReasonLeaving
+	case call.Instance != "" && call.Instance != e.instance:
+		return caller.ReasonIncarnation
+	}
+	call.Instance = e.instance
+	return caller.ReasonNone
+}
+
+// current reports whether the backend server that the call was admitted for still
+// takes calls.
+func (e *Executor) current(call *caller.Call) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.config.Registers || call.Instance == e.instance
+}
+
 func (e *Executor) wait(ctx context.Context, ticket *admitter.Ticket) caller.Reason {
 	timer := time.NewTimer(e.queueTimeout(ticket))
 	defer timer.Stop()
@@ -283,6 +334,12 @@
 		release(overloadError(ctx, err))
 		return e.backendError(ctx, call, entry, err)
 	}
+	if answer.Outcome == caller.NotRun {
+		release(answer.Reason.Overload())
+		refused := e.refuseBound(call, entry, answer.Reason)
+		refused.Arrived = true
+		return refused
+	}
 	answer.PathThreshold = inbound.PathThreshold()
 	answer.Unspent = inbound.Pool.Left
 	failed := answer.Status == 503 || answer.Status == 429
@@ -343,6 +400,7 @@
 	}
 	answer := e.refuse(call, caller.Unknown, reason)
 	answer.Detail = err.Error()
+	answer.Arrived = true
 	if entry != nil {
 		e.finish(entry, deduplicator.Outcome{
 			Answer: *answer,
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -164,13 +164,14 @@
 		return
 	}
 	target := r.byID[member.GetId()]
-	if member.GetState() == encoder.MemberState_DEAD {
+	absent := member.GetRegisters() && member.GetBackend().GetState() == encoder.BackendState_BACKEND_GONE
+	if member.GetState() == encoder.MemberState_DEAD || absent {
 		if target != nil {
 			r.remove(target)
 		}
 		return
 	}
-	if target != nil && target.Member.GetIncarnation() == member.GetIncarnation() && ServiceOf(target.Member) == name {
+	if target != nil && sameBackend(target.Member, member) {
 		target.Member = member
 		return
 	}
@@ -180,6 +181,20 @@
 	r.add(now, member)
 }
 
+// sameBackend reports whether both announcements are of one incarnation of a
+// backend server and its node.
+func sameBackend(a, b *encoder.Member) bool {
+	return a.GetIncarnation() == b.GetIncarnation() && ServiceOf(a) == ServiceOf(b) &&
+		a.GetBackend().GetId() == b.GetBackend().GetId() &&
+		a.GetBackend().GetBornUnixMilli() == b.GetBackend().GetBornUnixMilli()
+}
+
+// leaving reports whether the target takes no new work.
+func (t *Target) leaving() bool {
+	return t.Member.GetState() == encoder.MemberState_LEAVING || t.load.Leaving ||
+		t.Member.GetBackend().GetState() == encoder.BackendState_BACKEND_DRAINING
+}
+
 func (r *Router) add(now time.Time, member *encoder.Member) {
 	target := &Target{
 		Member: member,
@@ -211,6 +226,11 @@
 	return r.byID[id]
 }
 
+// Targets returns the number of targets of all services.
+func (r *Router) Targets() int {
+	return len(r.byID)
+}
+
 // Known reports whether a service ever had a target.
 func (r *Router) Known(service describer.ServiceName) bool {
 	return r.services[service] != nil
@@ -311,7 +331,7 @@
 		honorEjection = false
 	}
 	for _, target := range g.targets {
-		if target.Member.GetState() == encoder.MemberState_LEAVING || target.load.Leaving {
+		if target.leaving() {
 			continue
 		}
 		if honorEjection && avoided(now, target) {
--- a/internal/version/checker/checker.go
+++ b/internal/version/checker/checker.go
@@ -2,7 +2,8 @@
 // findings.
 //
 // Paths have one subtree for each team: /TEAM/team holds what the team's
-// services share, and /TEAM/services/NAME describes one service.
+// services share, /TEAM/services/NAME describes one service, and /TEAM/hosts
+// leads requests from hosts and path prefixes to services.
 //
 // # Usage
 //
@@ -36,12 +37,17 @@
 // Path names one settings document.
 type Path struct {
 	Team string
-	// Service is empty for the team's own document.
+	// Service is empty for the team's own documents.
 	Service string
+	// Hosts marks the document of the team's hosts.
+	Hosts bool
 }
 
 // String returns the written path.
 func (p Path) String() string {
+	if p.Hosts {
+		return "/" + p.Team + "/hosts"
+	}
 	if p.Service == "" {
 		return "/" + p.Team + "/team"
 	}
@@ -56,12 +62,14 @@
 	}
 }
 
-// ParsePath reads a path written as /TEAM/team or /TEAM/services/NAME.
+// ParsePath reads a path written as /TEAM/team, /TEAM/hosts or
+// /TEAM/services/NAME.
 func ParsePath(text string) (Path, error) {
 	parts := strings.Split(text, "/")
-	if len(parts) == 3 && parts[0] == "" && parts[2] == "team" && namePattern.MatchString(parts[1]) {
+	if len(parts) == 3 && parts[0] == "" && (parts[2] == "team" || parts[2] == "hosts") && namePattern.MatchString(parts[1]) {
 		return Path{
-			Team: parts[1],
+			Team:  parts[1],
+			Hosts: parts[2] == "hosts",
 		}, nil
 	}
 	if len(parts) == 4 && parts[0] == "" && parts[2] == "services" && namePattern.MatchString(parts[1]) && namePattern.MatchString(parts[3]) {
@@ -70,7 +78,7 @@
 			Service: parts[3],
 		}, nil
 	}
-	return Path{}, errors.Newf("path %q is not /TEAM/team or /TEAM/services/NAME in lower case letters, digits and hyphens", text)
+	return Path{}, errors.Newf("path %q is not /TEAM/team, /TEAM/hosts or /TEAM/services/NAME in lower case letters, digits and hyphens", text)
 }
 
 // Document is the typed content of one settings document: exactly one of its
@@ -78,6 +86,7 @@
 type Document struct {
 	Service *describer.Service
 	Team    *describer.Team
+	Hosts   *describer.HostTable
 }
 
 // Check reads the document at path; file names it in findings.
@@ -87,9 +96,12 @@
 		return Document{}, findings
 	}
 	document := Document{}
-	if path.Service == "" {
+	switch {
+	case path.Hosts:
+		document.Hosts = readHosts(root, path)
+	case path.Service == "":
 		document.Team = readTeam(root, path)
-	} else {
+	default:
 		document.Service = readService(root, path)
 	}
 	findings = root.Findings()
--- a/internal/version/describer/describer.go
+++ b/internal/version/describer/describer.go
@@ -211,6 +211,18 @@
 	Version  int64
 	Services map[ServiceName]Service
 	Teams    map[string]Team
+	// Hosts holds the hosts of each team.
+	Hosts map[string]HostTable
+}
+
+// MatchHost returns the route that serves a request to a host.
+func (s *Settings) MatchHost(host, path string) (HostRoute, bool) {
+	for _, table := range s.Hosts {
+		if route, ok := table.Match(host, path); ok {
+			return route, true
+		}
+	}
+	return HostRoute{}, false
 }
 
 // Service returns the settings of the named service, or defaults.
@@ -250,5 +262,6 @@
 		Version:  s.Version,
 		Services: maps.Clone(s.Services),
 		Teams:    maps.Clone(s.Teams),
+		Hosts:    maps.Clone(s.Hosts),
 	}
 }
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -23,6 +23,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/checker"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
@@ -89,6 +90,19 @@
 	return f.restore(snapshot)
 }
 
+// Adopt takes a document that its source has accepted already at the given
+// version. An older version than the one in force changes nothing.
+func (f *Follower) Adopt(version int64, path checker.Path, content []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next, err := f.state.Adopt(version, path, content)
+	if err != nil {
+		return err
+	}
+	f.advance(next)
+	return nil
+}
+
 // Poll reads and applies one batch. It reports whether more records wait.
 func (f *Follower) Poll(ctx context.Context) (bool, error) {
 	if f.log == nil {
@@ -132,7 +146,7 @@
 func (f *Follower) SnapshotDue(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.state.Version == 0 || f.cursor > f.state.Version {
+	if f.log == nil || f.state.Version == 0 || f.cursor > f.state.Version {
 		return false
 	}
 	return f.cursor-f.lastSnapshot >= snapshotRecords || now.Sub(f.snapshotTime) >= snapshotAge
@@ -162,7 +176,7 @@
 	f.cursor = max(f.cursor, raw.Offset+1)
 	if snapshot := record.GetSnapshot(); snapshot != nil {
 		f.lastSnapshot = raw.Offset + 1
-		f.snapshotTime = raw.Time
+		f.snapshotTime = time.Now()
 		before := f.state.Version
 		if raw.Offset > before && f.restore(snapshot) != nil {
 			f.badRecords++
--- a/internal/version/follower/state.go
+++ b/internal/version/follower/state.go
@@ -32,6 +32,7 @@
 		settings: &describer.Settings{
 			Services: make(map[describer.ServiceName]describer.Service),
 			Teams:    make(map[string]describer.Team),
+			Hosts:    make(map[string]describer.HostTable),
 		},
 	}
 }
@@ -130,6 +131,26 @@
 	if document.Team != nil {
 		s.settings.Teams[document.Team.Name] = *document.Team
 	}
+	if document.Hosts != nil {
+		s.settings.Hosts[document.Hosts.Team] = *document.Hosts
+	}
+}
+
+// Adopt returns the state after a document that its source has accepted already
+// at the given version, or s when that is not newer.
+func (s State) Adopt(version int64, path checker.Path, content []byte) (State, error) {
+	if version <= s.Version {
+		return s, nil
+	}
+	return s.Restore(&encoder.Snapshot{
+		Covers: version,
+		Base:   s.Version,
+		Documents: []*encoder.Document{{
+			Path:    path.String(),
+			Version: version,
+			Content: content,
+		}},
+	})
 }
 
 // Snapshot returns a snapshot of what changed since version; 0 means all.
