--- /dev/null
+++ b/internal/connection/receiver/receiver_test.go
@@ -0,0 +1,212 @@
+package receiver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/labeler"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+)
+
+// calls answers each call with answer and keeps the last one.
+type calls struct {
+	answer func() *caller.Answer
+	last   *caller.Call
+}
+
+// Dispatch implements gateway.Calls.
+func (c *calls) Dispatch(_ context.Context, call *caller.Call) *caller.Answer {
+	c.last = call
+	return c.answer()
+}
+
+func settings() *describer.Settings {
+	table := describer.HostTable{
+		Team: "county",
+	}
+	desk := describer.ServiceName{Team: "county", Name: "desk"}
+	spare := describer.ServiceName{Team: "county", Name: "spare"}
+	table.Add("h.example", []describer.HostRoute{
+		{Name: "a", Path: "/a/", Idempotent: true, Rank: 2, Timeout: time.Second, Attempts: 2, Destinations: []describer.Destination{{Service: desk, Weight: 1}}},
+		{Name: "ab", Path: "/a/b/", Timeout: 3 * time.Second, Attempts: 1, Destinations: []describer.Destination{{Service: desk, Weight: 90}, {Service: spare, Weight: 10}, {Service: spare, Weight: 0}}},
+	})
+	return &describer.Settings{
+		Version: 1,
+		Hosts:   map[string]describer.HostTable{"county": table},
+	}
+}
+
+func handler(c *calls, inForce func() *describer.Settings) http.Handler {
+	return New(Config{
+		Calls: c,
+		Dialect: labeler.Dialect{
+			RequestID:     "Id",
+			Timeout:       "Timeout",
+			Instance:      "Instance",
+			CallerService: "Caller",
+			ParseTimeout:  time.ParseDuration,
+		},
+		Settings: inForce,
+		Recorder: recorder.New(nil, "n", 1),
+		Service:  describer.ServiceName{Team: "county", Name: "own"},
+		Local:    netip.MustParseAddr("10.0.0.1"),
+	})
+}
+
+func whole() *caller.Answer {
+	return &caller.Answer{
+		Status: 200,
+		Header: http.Header{"Proof": {"p"}},
+		Body:   io.NopCloser(strings.NewReader("body")),
+	}
+}
+
+func request(path string) *http.Request {
+	req := httptest.NewRequest("GET", path, nil)
+	req.Host = "H.example:80"
+	req.RemoteAddr = "10.9.9.9:1"
+	req.Header.Set("Id", "1")
+	return req
+}
+
+func TestHostAndLongestPrefixSelectTheRoute(t *testing.T) {
+	c := &calls{answer: whole}
+	for path, want := range map[string]string{"/a/x": "a", "/a/b/x?q=%2F": "ab", "/a/b": "a"} {
+		w := httptest.NewRecorder()
+		handler(c, settings).ServeHTTP(w, request(path))
+		if w.Code != 200 || w.Body.String() != "body" || c.last.Route != want || c.last.Path != path {
+			t.Errorf("%s: got %d by route %q with path %q, want route %q", path, w.Code, c.last.Route, c.last.Path, want)
+		}
+	}
+}
+
+func TestDeadlineIsTheShorterOfRouteAndCaller(t *testing.T) {
+	c := &calls{answer: whole}
+	for asked, want := range map[string]time.Duration{"": time.Second, "5s": time.Second, "300ms": 300 * time.Millisecond} {
+		req := request("/a/x")
+		req.Header.Set("Timeout", asked)
+		handler(c, settings).ServeHTTP(httptest.NewRecorder(), req)
+		if got := time.Until(c.last.Deadline); got > want || got < want-200*time.Millisecond {
+			t.Errorf("asked %q: got %s left, want %s", asked, got, want)
+		}
+	}
+}
+
+func TestHeadersThatOnlyNodesSetAreNotTakenFromCallers(t *testing.T) {
+	c := &calls{answer: whole}
+	req := request("/a/x")
+	for name, value := range map[string]string{"Caller": "forged", "Instance": "forged", "Connection": "Extra", "Extra": "1", "Kept": "2"} {
+		req.Header.Set(name, value)
+	}
+	handler(c, settings).ServeHTTP(httptest.NewRecorder(), req)
+	if c.last.CallerService != "own" {
+		t.Errorf("got caller service %q, want own", c.last.CallerService)
+	}
+	for name, want := range map[string]string{"Caller": "", "Instance": "", "Extra": "", "Kept": "2"} {
+		if got := c.last.Header.Get(name); got != want {
+			t.Errorf("header %s: got %q, want %q", name, got, want)
+		}
+	}
+}
+
+func TestCallsOfTheLocalBackendServerComeBeforeNewRequests(t *testing.T) {
+	c := &calls{answer: whole}
+	req := request("/a/x")
+	handler(c, settings).ServeHTTP(httptest.NewRecorder(), req)
+	if c.last.Hop != 0 || c.last.Priority.Criticality() != describer.Normal {
+		t.Errorf("client: got hop %d, %s, want 0, normal", c.last.Hop, c.last.Priority.Criticality())
+	}
+	req.RemoteAddr = "10.0.0.1:9"
+	handler(c, settings).ServeHTTP(httptest.NewRecorder(), req)
+	if c.last.Hop != 1 || c.last.Priority.Criticality() != describer.Critical {
+		t.Errorf("backend server: got hop %d, %s, want 1, critical", c.last.Hop, c.last.Priority.Criticality())
+	}
+}
+
+func TestRefusalsTellWhetherTheRequestRan(t *testing.T) {
+	refuse := func(outcome caller.Outcome, reason caller.Reason) func() *caller.Answer {
+		return func() *caller.Answer {
+			answer := caller.Refuse(outcome, reason)
+			answer.RetryAfter = 250 * time.Millisecond
+			return answer
+		}
+	}
+	noID := request("/a/x")
+	noID.Header.Del("Id")
+	badTimeout := request("/a/x")
+	badTimeout.Header.Set("Timeout", "soon")
+	none := func() *describer.Settings { return &describer.Settings{} }
+	for name, test := range map[string]struct {
+		req        *http.Request
+		settings   func() *describer.Settings
+		answer     func() *caller.Answer
+		status     int
+		retryAfter string
+	}{
+		"not run":     {request("/a/x"), settings, refuse(caller.NotRun, caller.ReasonOverload), 503, "0.250"},
+		"unknown":     {request("/a/x"), settings, refuse(caller.Unknown, caller.ReasonConnectionLost), 502, ""},
+		"timeout":     {request("/a/x"), settings, refuse(caller.Unknown, caller.ReasonTimeout), 504, ""},
+		"no time":     {request("/a/x"), settings, refuse(caller.NotRun, caller.ReasonDeadline), 503, "0.250"},
+		"no route":    {request("/b/"), settings, whole, 404, ""},
+		"no ID":       {noID, settings, whole, 400, ""},
+		"bad timeout": {badTimeout, settings, whole, 400, ""},
+		"no settings": {request("/b/"), none, whole, 503, "0.500"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			handler(&calls{answer: test.answer}, test.settings).ServeHTTP(w, test.req)
+			if w.Code != test.status || w.Header().Get("Retry-After") != test.retryAfter {
+				t.Errorf("got %d, Retry-After %q, want %d, %q", w.Code, w.Header().Get("Retry-After"), test.status, test.retryAfter)
+			}
+		})
+	}
+}
+
+func TestBrokenAnswersLookBroken(t *testing.T) {
+	c := &calls{answer: func() *caller.Answer {
+		answer := whole()
+		answer.Body = io.NopCloser(io.MultiReader(strings.NewReader("par"), brokenReader{}))
+		return answer
+	}}
+	server := httptest.NewServer(handler(c, settings))
+	defer server.Close()
+	req, _ := http.NewRequest("GET", server.URL+"/a/x", nil)
+	req.Host = "h.example"
+	req.Header.Set("Id", "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if got, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("got %q as a whole body, want an error", got)
+	}
+}
+
+// brokenReader breaks off.
+type brokenReader struct{}
+
+// Read implements io.Reader.
+func (brokenReader) Read([]byte) (int, error) {
+	return 0, io.ErrUnexpectedEOF
+}
+
+func TestWeightsHold(t *testing.T) {
+	const draws, tolerance = 5000, 0.02
+	destinations := settings().Hosts["county"].Hosts["h.example"][0].Destinations
+	counts := map[string]int{}
+	for range draws {
+		counts[pick(destinations).Name]++
+	}
+	if got := float64(counts["spare"]) / draws; got < 0.1-tolerance || got > 0.1+tolerance {
+		t.Errorf("got a share of %.3f, want 0.1", got)
+	}
+}
--- /dev/null
+++ b/internal/version/checker/hosts_test.go
@@ -0,0 +1,58 @@
+package checker
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodHosts = `{
+  // Requests of pilgrims' phones.
+  "limits": {"maxHeaderBytes": 16384, "idleTimeout": "15s"},
+  "hosts": [
+    {"host": "desk.example", "routes": [
+      {"name": "lookup", "path": "/plots/", "idempotent": true, "rank": 2, "objective": "1.5s", "timeout": "1s", "attempts": 2,
+       "destinations": [{"service": "county/pilgrim-desk", "weight": 90}, {"service": "county/allot", "weight": 10}]},
+    ]},
+  ],
+}`
+
+func TestHostsAreRead(t *testing.T) {
+	path, err := ParsePath("/county/hosts")
+	if err != nil {
+		t.Fatal(err)
+	}
+	document, findings := Check("hosts.jsonc", path, []byte(goodHosts))
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	route, ok := document.Hosts.Match("desk.example", "/plots/17")
+	if !ok || route.Objective != 1500*time.Millisecond || route.Attempts != 2 || len(route.Destinations) != 2 {
+		t.Errorf("got %+v", route)
+	}
+	if got := path.String(); got != "/county/hosts" {
+		t.Errorf("got path %q", got)
+	}
+}
+
+func TestHostsFindingsTellTheirPlace(t *testing.T) {
+	for name, test := range map[string]struct{ old, new, want string }{
+		"prefix":      {`"/plots/"`, `"/plots"`, `hosts.jsonc:6:34: path is "/plots"; want a prefix that begins and ends with /`},
+		"service":     {`"county/allot"`, `"allot"`, `service "allot" is not of the form team/name`},
+		"no weight":   {`"weight": 90}, {"service": "county/allot", "weight": 10}`, `"weight": 0}`, `no destination of route "lookup" has a weight above 0`},
+		"below zero":  {`"weight": 90`, `"weight": -1`, `weight is -1; want 0 to 1000000`},
+		"cut short":   {"]},\n  ],\n}", "", "syntax error"},
+		"same path":   {`"county/allot", "weight": 10}]},`, `"county/allot", "weight": 10}]}, {"name": "b", "path": "/plots/", "idempotent": true, "destinations": [{"service": "a/b"}]}`, `both have the path "/plots/"`},
+		"unknown":     {`"rank"`, `"rang"`, `unknown field "rang"`},
+		"no objects":  {`"hosts": [`, `"hosts": [7, `, "want an object, got a number"},
+		"idempotent?": {`"idempotent": true`, `"idempotent": 1`, "want true or false"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			content := strings.Replace(goodHosts, test.old, test.new, 1)
+			_, findings := Check("hosts.jsonc", Path{Team: "county", Hosts: true}, []byte(content))
+			if got := findings.Error(); !strings.Contains(got, test.want) {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
