--- a/internal/cli/commander/cmd_node.go
+++ b/internal/cli/commander/cmd_node.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -59,9 +60,53 @@
 		<-signals
 		cancel()
 	}()
+	go n.watchFile(ctx, node, log)
 	return node.Run(ctx)
 }
 
+// filePeriod is the time between two looks at the settings file, which may
+// change without a signal.
+const filePeriod = time.Second
+
+// watchFile takes the settings file up again after SIGHUP and when it changed.
+func (n *nodeRun) watchFile(ctx context.Context, node *runner.Node, log *logrus.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(filePeriod)
+	defer ticker.Stop()
+	known := modified(n.Config)
+	for {
+		cause := "file changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			cause = "SIGHUP"
+		case <-ticker.C:
+			if modified(n.Config).Equal(known) {
+				continue
+			}
+		}
+		known = modified(n.Config)
+		config, err := n.read()
+		if err != nil {
+			log.WithError(err).WithField("cause", cause).Error("settings not reloaded; the earlier ones stay in force")
+			continue
+		}
+		node.Reload(config, cause)
+	}
+}
+
+// modified returns when the file was last changed, or zero when that is unknown.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // read returns the file's settings with the flags applied.
 func (n *nodeRun) read() (configurer.Config, error) {
 	content, err := os.ReadFile(n.Config)
--- a/internal/process/runner/drain.go
+++ b/internal/process/runner/drain.go
@@ -26,6 +26,9 @@
 	})
 }
 
+// stopMargin is left of the stop timeout for closing connections.
+const stopMargin = 500 * time.Millisecond
+
 // awaitDrain returns once the node has drained or its stop timeout is over.
 func (n *Node) awaitDrain(ctx context.Context) error {
 	select {
@@ -34,7 +37,7 @@
 		return nil
 	case <-n.draining:
 	}
-	timeout := time.NewTimer(n.config.StopTimeout)
+	timeout := time.NewTimer(time.Duration(n.stopTimeout.Load()) - stopMargin)
 	defer timeout.Stop()
 	lingered := make(chan struct{})
 	linger := time.AfterFunc(leaveTime, func() {
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -87,6 +87,7 @@
 			return n.follower.State().Version
 		},
 		OnVersion: n.sync.Changed,
+		Patient:   n.hasReader,
 		Log:       n.log,
 	})
 	n.enroller = enroller.New(enroller.Config{
@@ -104,6 +105,12 @@
 	})
 }
 
+// hasReader reports whether another node of the zone waits briefly for changes
+// of the operator's settings; its version is heard of by gossip.
+func (n *Node) hasReader() bool {
+	return n.sync.Rank() > 0
+}
+
 // addPlatform adds what runs only on the users' platform.
 func (n *Node) addPlatform(ctx context.Context, cancel context.CancelFunc, group *run.Group) {
 	n.addServer(group, n.listeners.readiness, http.HandlerFunc(n.answerReadiness))
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -78,6 +78,8 @@
 	callHandler http.Handler
 	// openCalls counts the callers' requests that are not answered in full.
 	openCalls atomic.Int64
+	// stopTimeout bounds a drain, in nanoseconds.
+	stopTimeout atomic.Int64
 	drainOnce sync.Once
 	draining  chan struct{}
 }
@@ -160,6 +162,7 @@
 			Registers:   config.Platform != nil,
 		},
 	}
+	n.stopTimeout.Store(int64(config.StopTimeout))
 	n.assemble()
 	return n, nil
 }
--- a/internal/process/synchronizer/synchronizer.go
+++ b/internal/process/synchronizer/synchronizer.go
@@ -114,6 +114,12 @@
 // Reader reports whether this node is one of those in its zone that read the
 // log often: the members with the lowest hashes.
 func (s *Synchronizer) Reader() bool {
+	return s.Rank() < readersPerZone
+}
+
+// Rank returns the number of living members of the zone that come before this
+// node when a few of them are to do something for all.
+func (s *Synchronizer) Rank() int {
 	self := s.config.Self
 	own := xxhash.Sum64String(self.GetId())
 	lower := 0
@@ -125,7 +131,7 @@
 			lower++
 		}
 	}
-	return lower < readersPerZone
+	return lower
 }
 
 // poll reads the log to its end.
--- a/internal/version/watcher/watcher.go
+++ b/internal/version/watcher/watcher.go
@@ -26,6 +26,9 @@
 	// a change has to be in force.
 	waitTime   = time.Second
 	waitMargin = 500 * time.Millisecond
+	// patientTime is how long a read waits while another node of the zone would
+	// tell of the change: each read of the store has its price.
+	patientTime = 8 * time.Second
 	// newestTimeout bounds a read of the newest values.
 	newestTimeout = 2 * time.Second
 	// retryBase and retryLimit bound the pause after a failed read.
@@ -67,9 +70,10 @@
 	OnVersion func(version int64, source string)
 	// Version returns the version in force.
 	Version func() int64
-	// Wait returns how long a read may wait now; 0 means the default.
-	Wait func() time.Duration
-	Log  *logrus.Logger
+	// Patient reports whether another node tells of changes soon; nil means that
+	// none does.
+	Patient func() bool
+	Log     *logrus.Logger
 }
 
 // Watcher follows one source.
@@ -113,8 +117,8 @@
 		return w.config.Source.Newest(ctx)
 	}
 	wait := waitTime
-	if w.config.Wait != nil {
-		wait = w.config.Wait()
+	if w.config.Patient != nil && w.config.Patient() {
+		wait = patientTime
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+waitMargin)
 	defer cancel()
