--- a/cmd/laburnumshelf/main_test.go
+++ b/cmd/laburnumshelf/main_test.go
@@ -112,6 +112,7 @@
 		f.t.Fatal(err)
 	}
 	p.cmd = exec.Command(binary, "node", "--config", file)
+	p.cmd.Stdout = p.log
 	p.cmd.Stderr = p.log
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
--- a/internal/cli/commander/cmd_node.go
+++ b/internal/cli/commander/cmd_node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/logwriter"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/runner"
 )
 
@@ -45,7 +47,9 @@
 	if err != nil {
 		return err
 	}
-	log := newLogger(n.env, config.LogLevel)
+	lines := logwriter.New(n.env.stdout)
+	defer lines.Close()
+	log := newLogger(lines, config.LogLevel)
 	node, err := runner.New(config, log)
 	if err != nil {
 		return err
@@ -151,9 +155,9 @@
 }
 
 // newLogger returns a logger of one key=value line for each event.
-func newLogger(env *environment, level string) *logrus.Logger {
+func newLogger(out io.Writer, level string) *logrus.Logger {
 	log := logrus.New()
-	log.SetOutput(env.stderr)
+	log.SetOutput(out)
 	log.SetFormatter(&logrus.TextFormatter{
 		DisableColors:   true,
 		FullTimestamp:   true,
--- a/internal/request/recorder/recorder.go
+++ b/internal/request/recorder/recorder.go
@@ -63,6 +63,13 @@
 	Threshold caller.Priority
 	Allowance uint32
 	Wait      time.Duration
+	// logged tells that the decision's line was written.
+	logged bool
+}
+
+// routine reports whether the decision is one that every served call needs.
+func (d *Decision) routine() bool {
+	return d.Outcome == caller.Answered && (d.Action == Route || d.Action == Admit || d.Action == Answer)
 }
 
 // Exported is the JSON form of a Decision.
@@ -120,6 +127,34 @@
 	mu   sync.Mutex
 	ring []Decision
 	next int
+	// routineLines and otherLines bound the lines written.
+	routineLines lineBudget
+	otherLines   lineBudget
+}
+
+// Line rates: a node's share of the target size is some 360 calls a second with
+// a few decisions each, of which the routine ones need not all be written.
+const (
+	routineLinesPerSecond = 100
+	otherLinesPerSecond   = 200
+)
+
+// droppedLines counts decisions whose lines were left out.
+var droppedLines = expvar.NewInt("decisionLinesLeftOut")
+
+// lineBudget allows a number of lines a second.
+type lineBudget struct {
+	second time.Time
+	lines  int
+}
+
+func (b *lineBudget) allow(now time.Time, perSecond int) bool {
+	if now.Sub(b.second) >= time.Second {
+		b.second = now
+		b.lines = 0
+	}
+	b.lines++
+	return b.lines <= perSecond
 }
 
 const (
@@ -137,14 +172,19 @@
 	}
 }
 
-// Record logs, counts and keeps one decision.
+// Record logs, counts and keeps one decision. When there are more lines than the
+// log may get, those of served calls are left out first; they are written later
+// if the request ends badly.
 func (r *Recorder) Record(d Decision) {
 	d.Time = time.Now()
 	r.counters[d.Action][d.Reason].Add(1)
-	r.keep(d)
-	if r.log == nil || !r.log.IsLevelEnabled(logrus.InfoLevel) {
-		return
+	logging := r.log != nil && r.log.IsLevelEnabled(logrus.InfoLevel)
+	for _, line := range r.keep(d, logging) {
+		r.write(line)
 	}
+}
+
+func (r *Recorder) write(d Decision) {
 	r.log.WithTime(d.Time).WithFields(logrus.Fields{
 		"action":    d.Action.String(),
 		"allowance": d.Allowance,
@@ -164,9 +204,45 @@
 	}).Info("decision")
 }
 
-func (r *Recorder) keep(d Decision) {
+// keep adds the decision to the ring and returns those to write now.
+func (r *Recorder) keep(d Decision, logging bool) []Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var lines []Decision
+	if logging {
+		lines = r.due(&d)
+	}
+	r.store(d)
+	return lines
+}
+
+// due returns the decisions to write with d; r.mu is held.
+func (r *Recorder) due(d *Decision) []Decision {
+	if d.routine() {
+		d.logged = r.routineLines.allow(d.Time, routineLinesPerSecond)
+	} else {
+		d.logged = r.otherLines.allow(d.Time, otherLinesPerSecond)
+	}
+	if !d.logged {
+		droppedLines.Add(1)
+		return nil
+	}
+	if d.routine() {
+		return []Decision{*d}
+	}
+	var lines []Decision
+	for i := range r.ring {
+		earlier := &r.ring[(r.next+i)%len(r.ring)]
+		if earlier.RequestID == d.RequestID && !earlier.logged {
+			earlier.logged = true
+			lines = append(lines, *earlier)
+		}
+	}
+	return append(lines, *d)
+}
+
+// store puts a decision into the ring; r.mu is held.
+func (r *Recorder) store(d Decision) {
 	if len(r.ring) < cap(r.ring) {
 		r.ring = append(r.ring, d)
 		return
