Throttle at the entry, queue calls of backend servers, keep regions and connections

Clients' requests and calls of backend servers could not be told apart by their address, which is the same.

Change: routes that only one service's nodes send are those that backend servers call; their calls wait as long as their time allows. Clients' requests are refused at the entry when their kind mostly fails. A canceled call may end within 250 ms, so that its connection is kept. Regions are left from 1.6 of a target's slots on.

--- a/internal/connection/forwarder/conn.go
+++ b/internal/connection/forwarder/conn.go
@@ -39,10 +39,7 @@
 // exchange sends a request and returns the answer that check accepts. The body
 // of the answer must be closed, which returns the connection.
 func (c *conn) exchange(ctx context.Context, req *http.Request, check func(*http.Response) error) (*http.Response, error) {
-	// Closing the connection makes the backend server stop.
-	stop := context.AfterFunc(ctx, func() {
-		c.Conn.Close()
-	})
+	watch := newGuard(ctx, c.Conn, c.pool.config.CancelGrace)
 	sent := make(chan error, 1)
 	if req.Body == nil || (req.ContentLength >= 0 && req.ContentLength <= syncBytes) {
 		sent <- c.send(req)
@@ -54,14 +51,14 @@
 	}
 	resp, err := c.receive(req, check)
 	if err != nil {
-		stop()
+		watch.end()
 		c.discard()
 		return nil, preferSendError(err, sent)
 	}
 	resp.Body = &body{
 		ReadCloser: resp.Body,
 		conn:       c,
-		stop:       stop,
+		watch:      watch,
 		sent:       sent,
 		reusable:   !resp.Close,
 		idle:       idleTime(resp.Header),
@@ -136,7 +133,7 @@
 type body struct {
 	io.ReadCloser
 	conn     *conn
-	stop     func() bool
+	watch    *guard
 	sent     <-chan error
 	reusable bool
 	idle     time.Duration
@@ -162,7 +159,7 @@
 // finish keeps the connection when both the request and the answer are whole and
 // nothing else came.
 func (b *body) finish() {
-	running := b.stop()
+	running := b.watch.end()
 	if !b.whole {
 		// Empty bodies are whole without a read.
 		n, err := b.ReadCloser.Read(make([]byte, 1))
--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -55,6 +55,9 @@
 	// passed on, so that a broken one can still be replaced; 0 passes every
 	// answer on as it comes.
 	ReadAhead int64
+	// CancelGrace is how long the answer to a canceled call is still waited for:
+	// a new connection is dearer than the rest of a short call.
+	CancelGrace time.Duration
 }
 
 // Forwarder is a caller.Backend over HTTP.
--- a/internal/connection/forwarder/forwarder_test.go
+++ b/internal/connection/forwarder/forwarder_test.go
@@ -296,6 +296,33 @@
 	}
 }
 
+func TestCanceledCallThatEndsSoonKeepsItsConnection(t *testing.T) {
+	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			io.WriteString(c, answer(req.Header.Get("Id"), "x"))
+		}
+	})
+	f := b.forwarder(t)
+	f.config.CancelGrace = 5 * time.Second
+	f.pool.config.CancelGrace = 5 * time.Second
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	if canceled, err := f.Do(ctx, call("1")); err == nil {
+		canceled.Close()
+	}
+	if got, err := do(t, f, call("2")); got != "x" || err != nil {
+		t.Errorf("got %q, %v, want the second answer", got, err)
+	}
+	if got := b.connections.Load(); got != 1 {
+		t.Errorf("got %d connections, want 1", got)
+	}
+}
+
 func TestConnectionRetiresBeforeTheStatedIdleTime(t *testing.T) {
 	for header, want := range map[string]time.Duration{
 		"timeout=10":        9 * time.Second,
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -39,10 +38,8 @@
 	Dialect  labeler.Dialect
 	Settings func() *describer.Settings
 	Recorder *recorder.Recorder
-	// Service is the service that the local backend server runs, and Local the
-	// address from which it calls.
+	// Service is the service that the local backend server runs.
 	Service describer.ServiceName
-	Local   netip.Addr
 }
 
 type receiver struct {
@@ -90,7 +87,6 @@
 		Method:        req.Method,
 		Path:          req.RequestURI,
 		CallerService: r.config.Service.Name,
-		Hop:           r.hop(req),
 	}
 	if settings.Version == 0 {
 		answer := r.refusal(call, caller.ReasonNoSettings, "")
@@ -110,15 +106,6 @@
 	return call, nil
 }
 
-// hop returns 1 for calls of the local backend server and 0 for clients'.
-func (r *receiver) hop(req *http.Request) uint32 {
-	from, err := netip.ParseAddrPort(req.RemoteAddr)
-	if err == nil && from.Addr().Unmap() == r.config.Local {
-		return 1
-	}
-	return 0
-}
-
 func hostOf(req *http.Request) string {
 	if host, _, err := net.SplitHostPort(req.Host); err == nil {
 		return strings.ToLower(host)
@@ -136,17 +123,13 @@
 		}
 		timeout = min(timeout, asked)
 	}
-	criticality := route.Criticality()
-	if call.Hop > 0 {
-		// The request that the call is made for runs already.
-		criticality = describer.Critical
-	}
 	call.Service = pick(route.Destinations)
 	call.Route = route.Name
 	call.Idempotent = route.Idempotent
+	call.Objective = route.Objective
 	call.MaxTargets = uint32(route.Attempts)
 	call.Deadline = now.Add(timeout)
-	call.Priority = caller.NewPriority(criticality, call.RequestID, now)
+	call.Priority = caller.NewPriority(route.Criticality(), call.RequestID, now)
 	call.Header = forwarded(req, r.config.Dialect)
 	return nil
 }
@@ -187,7 +170,6 @@
 	r.config.Recorder.Record(recorder.Decision{
 		RequestID: call.RequestID,
 		CallID:    call.CallID,
-		Hop:       call.Hop,
 		Action:    recorder.Refuse,
 		Reason:    reason,
 		Outcome:   answer.Outcome,
--- a/internal/connection/translator/translator.go
+++ b/internal/connection/translator/translator.go
@@ -39,6 +39,7 @@
 		Attempt:       call.Attempt,
 		Instance:      call.Instance,
 		CallerService: call.CallerService,
+		PatienceNanos: int64(call.Patience),
 	}
 }
 
@@ -67,6 +68,7 @@
 		Zone:          head.GetZone(),
 		Instance:      head.GetInstance(),
 		CallerService: head.GetCallerService(),
+		Patience:      time.Duration(head.GetPatienceNanos()),
 	}
 }
 
@@ -89,6 +91,7 @@
 		RetryAfterNanos: int64(answer.RetryAfter),
 		Detail:          answer.Detail,
 		Arrived:         answer.Arrived,
+		Inner:           answer.Inner,
 	}
 }
 
@@ -112,6 +115,7 @@
 		RetryAfter:    time.Duration(head.GetRetryAfterNanos()),
 		Detail:        head.GetDetail(),
 		Arrived:       head.GetArrived(),
+		Inner:         head.GetInner(),
 	}
 }
 
--- a/internal/process/logwriter/logwriter.go
+++ b/internal/process/logwriter/logwriter.go
@@ -32,7 +32,7 @@
 // Writer is an io.Writer whose writes never block. Its methods are safe for
 // concurrent use.
 type Writer struct {
-	out     io.Writer
+	out io.Writer
 	// wake has a value once lines wait.
 	wake    chan struct{}
 	closing chan struct{}
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/oklog/run"
 
@@ -14,6 +15,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/process/enroller"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/registrar"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/watcher"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 	"github.com/laburnumshelf/laburnumshelf/platform"
@@ -23,6 +25,18 @@
 // passed on; nearly all answers on the platform are smaller.
 const readAheadBytes = 64 << 10
 
+// cancelGrace is half of the time after which a backend server must not work for
+// a client that has left.
+const cancelGrace = 250 * time.Millisecond
+
+// The utilizations from which a target's zone and its region are left. Bytes
+// between regions cost five times those between zones, and calls may be queued
+// at their target for as long as their time allows.
+const (
+	platformSpill       = 0.8
+	platformRegionSpill = 1.6
+)
+
 // settingsLog returns the log with the product's own settings stream. On the
 // users' platform the operator's table takes its place.
 func (n *Node) settingsLog(store logclient.Store) logclient.Log {
@@ -51,6 +65,7 @@
 	if n.config.Platform != nil {
 		config.Dialect = platform.Headers()
 		config.ReadAhead = readAheadBytes
+		config.CancelGrace = cancelGrace
 	}
 	return config
 }
@@ -69,6 +84,17 @@
 	}
 }
 
+// routing returns how targets are chosen.
+func (n *Node) routing() router.Limits {
+	if n.config.Platform == nil {
+		return router.DefaultLimits()
+	}
+	return router.Limits{
+		Spill:       platformSpill,
+		RegionSpill: platformRegionSpill,
+	}
+}
+
 // assemblePlatform builds the parts that only the users' platform needs.
 func (n *Node) assemblePlatform(store logclient.Store) {
 	calls := receiver.New(receiver.Config{
@@ -77,7 +103,6 @@
 		Settings: n.settings,
 		Recorder: n.recorder,
 		Service:  n.config.Service,
-		Local:    n.config.BackendAddress.Addr(),
 	})
 	n.callHandler = n.counted(calls)
 	n.watcher = watcher.New(watcher.Config{
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -80,8 +80,8 @@
 	openCalls atomic.Int64
 	// stopTimeout bounds a drain, in nanoseconds.
 	stopTimeout atomic.Int64
-	drainOnce sync.Once
-	draining  chan struct{}
+	drainOnce   sync.Once
+	draining    chan struct{}
 }
 
 type listeners struct {
@@ -188,6 +188,8 @@
 		Region:    config.Region,
 		Transport: n.transport(),
 		OwnTokens: config.Platform != nil,
+		Throttle:  config.Platform != nil,
+		Router:    n.routing(),
 		Recorder:  n.recorder,
 		Inbound:   inbound,
 		Settings:  n.settings,
--- a/internal/replay/assembler/assembler.go
+++ b/internal/replay/assembler/assembler.go
@@ -181,12 +181,12 @@
 		Transport: transport{
 			from: n,
 		},
-		Recorder: n.recorder,
-		Inbound:  n.inbound,
-		Settings: n.settings,
-		Router:   f.switches.Router,
-		Switches: f.switches.Dispatcher,
-		Rand:     rand.New(rand.NewPCG(seed, 2)),
+		Recorder:       n.recorder,
+		Inbound:        n.inbound,
+		Settings:       n.settings,
+		RouterSwitches: f.switches.Router,
+		Switches:       f.switches.Dispatcher,
+		Rand:           rand.New(rand.NewPCG(seed, 2)),
 	})
 	n.executor = executor.New(executor.Config{
 		ID:          n.member.GetId(),
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -23,6 +23,10 @@
 	Slots        int
 	MaxQueue     int
 	QueueTimeout time.Duration
+	// Trusted takes the announced slots as the limit, and refuses a queued call
+	// only when its own patience or time is over: whoever sends calls sends no
+	// more than are served.
+	Trusted bool
 }
 
 // Switches turns single mechanisms off, for experiments that measure what each
@@ -44,6 +48,8 @@
 	Deadline time.Time
 	// Expected is the least time that the call is expected to take.
 	Expected time.Duration
+	// Patience is how long the call may be queued; 0 leaves that to the admitter.
+	Patience time.Duration
 	// Verdict receives exactly one value: ReasonAdmitted or why not.
 	Verdict chan caller.Reason
 	arrived time.Time
@@ -148,6 +154,9 @@
 }
 
 func (a *Admitter) limit() int {
+	if a.config.Trusted {
+		return a.config.Slots
+	}
 	if a.switches.NoLimiter {
 		return 1 << 20
 	}
@@ -172,13 +181,15 @@
 		ticket.settle(caller.ReasonBulkhead)
 		return
 	}
-	a.threshold.Arrived(ticket.Priority)
+	if !a.config.Trusted {
+		a.threshold.Arrived(ticket.Priority)
+	}
 	if a.inFlight < a.limit() && len(a.queue) == 0 {
 		a.start(now, ticket)
 		return
 	}
 	a.limiter.Saturated()
-	if !a.switches.NoThreshold && ticket.Priority < a.threshold.Value() {
+	if !a.config.Trusted && !a.switches.NoThreshold && ticket.Priority < a.threshold.Value() {
 		ticket.settle(caller.ReasonOverload)
 		return
 	}
@@ -189,7 +200,7 @@
 // exceeded reports whether the ticket's route has become slow and holds more
 // than its part of a target that is nearly full. Critical calls are exempt.
 func (a *Admitter) exceeded(now time.Time, ticket *Ticket) bool {
-	if a.switches.NoBulkhead || ticket.Priority.Criticality() >= describer.Critical {
+	if a.config.Trusted || a.switches.NoBulkhead || ticket.Priority.Criticality() >= describer.Critical {
 		return false
 	}
 	if float64(a.inFlight) < bulkheadShare*float64(a.limit()) {
@@ -259,6 +270,9 @@
 
 // roll moves the threshold with the capacity that limit and call time give.
 func (a *Admitter) roll(now time.Time) {
+	if a.config.Trusted {
+		return
+	}
 	capacity := 0.0
 	if mean := a.callTime(now); mean > 0 {
 		capacity = float64(a.limiter.Limit()) / mean.Seconds()
@@ -319,6 +333,9 @@
 }
 
 func (a *Admitter) queueTimeout(ticket *Ticket, callTime time.Duration) time.Duration {
+	if ticket.Patience > 0 {
+		return ticket.Patience
+	}
 	share := waitShare[min(int(ticket.Priority.Criticality()), len(waitShare)-1)]
 	return max(a.config.QueueTimeout, time.Duration(share*float64(callTime)))
 }
@@ -358,7 +375,7 @@
 }
 
 func (a *Admitter) newestFirst(now time.Time) bool {
-	return !a.switches.NoNewestFirst && now.Before(a.overloadedUntil)
+	return !a.config.Trusted && !a.switches.NoNewestFirst && now.Before(a.overloadedUntil)
 }
 
 func (a *Admitter) remove(i int) *Ticket {
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -90,6 +90,7 @@
 	ReasonRefusedByBackend
 	ReasonNoSettings
 	ReasonNoRoute
+	ReasonThrottled
 )
 
 // MaxReason is the highest reason value that fits the counters of a node; newer
@@ -102,7 +103,7 @@
 	"tokenNeeded", "tokenExpired", "incarnation", "tombstone", "tokenTableFull", "bodyBroken",
 	"timeout", "canceled", "earlyOverload", "unknownService", "badRequest", "replayed", "nearest",
 	"spill", "leastLoaded", "tokenTarget", "connectionLost", "bodyTooLarge", "admitted", "queued",
-	"tooDeep", "bulkhead", "refusedByBackend", "noSettings", "noRoute",
+	"tooDeep", "bulkhead", "refusedByBackend", "noSettings", "noRoute", "throttled",
 }
 
 // String returns the written name.
@@ -188,6 +189,12 @@
 	Instance string
 	// CallerService is the service at whose node the call began.
 	CallerService string
+	// Patience is how long the call may wait for a slot; 0 leaves that to the
+	// service's settings.
+	Patience time.Duration
+	// Objective is the time within which an answer has its full value; 0 means
+	// that none is known.
+	Objective time.Duration
 	// ResolveOnly asks what became of the token's call without running it.
 	ResolveOnly bool
 	Zone        string
@@ -226,6 +233,8 @@
 	Detail     string
 	// Arrived tells that the backend server received the call.
 	Arrived bool
+	// Inner tells that the call's route is called by backend servers.
+	Inner bool
 	// Body is nil for refusals. Reading it to io.EOF proves that it is whole.
 	Body io.ReadCloser
 	// Unspent returns the allowance left over; it is valid after the body.
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -46,6 +46,9 @@
 	case !now.Before(call.Deadline):
 		return a.refuse(caller.NotRun, caller.ReasonDeadline)
 	}
+	if refusal := a.d.refuseEarly(now, call); refusal != nil {
+		return refusal
+	}
 	threshold := a.d.forecast.Threshold(now, call.Service, call.Route)
 	if call.Hop == 0 && call.Priority < threshold && !a.d.config.Switches.NoEarlyRefusal && call.Token == nil {
 		a.path = threshold
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -23,6 +23,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/retrier"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/throttler"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
@@ -76,10 +77,14 @@
 	// OwnTokens binds the calls of callers that bring no token to one of the
 	// node's own: each such call is made once, by this node alone.
 	OwnTokens bool
-	Settings  func() *describer.Settings
-	Router    router.Switches
-	Switches  Switches
-	Rand      *rand.Rand
+	// Throttle refuses clients' requests of routes that mostly fail.
+	Throttle bool
+	Settings func() *describer.Settings
+	// Router is the zero value for the default limits.
+	Router         router.Limits
+	RouterSwitches router.Switches
+	Switches       Switches
+	Rand           *rand.Rand
 }
 
 // Dispatcher makes outbound calls. Its methods are safe for concurrent use.
@@ -87,12 +92,15 @@
 	config   Config
 	forecast *forecaster.Table
 	ledger   *retrier.Ledger
+	throttle *throttler.Throttler
 
 	// mu guards the router and the budgets and is never held during I/O.
 	mu      sync.Mutex
 	router  *router.Router
 	budgets map[describer.ServiceName]*retrier.Budget
 	limits  map[string]*byteLimiter
+	// classes tells the routes that backend servers call, as answers tell it.
+	classes map[string]bool
 }
 
 // New returns a Dispatcher that knows no targets yet.
@@ -101,10 +109,13 @@
 		config:   config,
 		forecast: forecaster.NewTable(),
 		ledger:   retrier.NewLedger(),
+		throttle: throttler.New(config.Rand),
+		classes:  make(map[string]bool),
 		router: router.New(router.Config{
 			Zone:     config.Zone,
 			Region:   config.Region,
-			Switches: config.Router,
+			Limits:   config.Router,
+			Switches: config.RouterSwitches,
 		}, config.Rand),
 		budgets: make(map[describer.ServiceName]*retrier.Budget),
 		limits:  make(map[string]*byteLimiter),
@@ -162,6 +173,7 @@
 		a.parent.ChildStarted(time.Now())
 	}
 	answer := a.run(ctx)
+	d.learn(ctx, call, answer)
 	a.finish(answer)
 	return answer
 }
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -20,6 +20,7 @@
 
 	"github.com/laburnumshelf/laburnumshelf/internal/request/admitter"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/classifier"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/deduplicator"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
@@ -27,6 +28,10 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
+// queuedPerSlot bounds the queue of a registered backend server: what finds no
+// slot while each is freed so often is too late.
+const queuedPerSlot = 8
+
 // retryAfter is what a refused caller is told to wait.
 const retryAfter = time.Second
 
@@ -42,9 +47,9 @@
 	// while SetBackend has named one that takes them.
 	Registers bool
 	Backend   caller.Backend
-	Recorder *recorder.Recorder
-	Inbound  *tracker.Table
-	Settings func() *describer.Settings
+	Recorder  *recorder.Recorder
+	Inbound   *tracker.Table
+	Settings  func() *describer.Settings
 	// Successor mints a token for another target of the service, or nil.
 	Successor func() *encoder.Token
 	Switches  admitter.Switches
@@ -54,6 +59,9 @@
 type Executor struct {
 	config Config
 
+	// classes tells the routes that backend servers call.
+	classes *classifier.Table
+
 	// mu guards the fields below and is never held during I/O.
 	mu       sync.Mutex
 	admitter *admitter.Admitter
@@ -74,6 +82,7 @@
 		tokens:   deduplicator.New(config.ID, config.Incarnation, deduplicator.DefaultLimits()),
 		expected: make(map[string]time.Duration),
 		slots:    config.Slots,
+		classes:  classifier.NewTable(),
 	}
 	e.admitter = admitter.New(e.admission(), config.Switches, time.Now())
 	return e
@@ -85,9 +94,14 @@
 	if service.MaxConcurrency > 0 {
 		slots = min(slots, service.MaxConcurrency)
 	}
+	maxQueue := service.MaxQueue
+	if e.config.Registers {
+		maxQueue = queuedPerSlot * slots
+	}
 	return admitter.Config{
 		Slots:        slots,
-		MaxQueue:     service.MaxQueue,
+		Trusted:      e.config.Registers,
+		MaxQueue:     maxQueue,
 		QueueTimeout: service.QueueTimeout,
 	}
 }
@@ -152,6 +166,9 @@
 	e.enter()
 	answer := e.judge(ctx, call)
 	answer.Load = e.Load()
+	if call.CallerService != "" {
+		answer.Inner = e.classes.Observe(call.Route, call.CallerService)
+	}
 	unspent := answer.Unspent
 	if unspent == nil {
 		answer.Unspent = func() uint32 {
@@ -244,6 +261,7 @@
 		return nil, reason
 	}
 	ticket := admitter.NewTicket(call.Route, call.Priority, call.Hop, call.Deadline, e.expected[call.Route])
+	ticket.Patience = call.Patience
 	e.admitter.Arrive(time.Now(), ticket)
 	e.mu.Unlock()
 	select {
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -22,8 +22,8 @@
 
 // Router parameters.
 const (
-	// spillUtilization is the utilization from which the next tier is tried.
-	spillUtilization = 0.8
+	// defaultSpill is the utilization from which the next tier is tried.
+	defaultSpill = 0.8
 	// loadAge is the time for which a reported load counts.
 	loadAge = time.Second
 	// latencyWeight is the weight of a new latency in the moving average.
@@ -63,11 +63,37 @@
 
 // Config is where the router's node stands.
 type Config struct {
-	Zone     string
-	Region   string
+	Zone   string
+	Region string
+	// Limits is the zero value for the default ones.
+	Limits   Limits
 	Switches Switches
 }
 
+// Limits is the utilizations from which targets further away are tried.
+type Limits struct {
+	// Spill is that from which the node's zone is left, RegionSpill its region.
+	Spill       float64
+	RegionSpill float64
+}
+
+// DefaultLimits returns the limits for which the way between regions has no
+// price.
+func DefaultLimits() Limits {
+	return Limits{
+		Spill:       defaultSpill,
+		RegionSpill: defaultSpill,
+	}
+}
+
+// leaves returns the utilization from which a tier is left.
+func (l Limits) leaves(level tier) float64 {
+	if level == sameZone {
+		return l.Spill
+	}
+	return l.RegionSpill
+}
+
 // Target is one backend server with what this node observed of it.
 type Target struct {
 	Member *encoder.Member
@@ -138,6 +164,9 @@
 
 // New returns a router without targets.
 func New(config Config, rng *rand.Rand) *Router {
+	if config.Limits == (Limits{}) {
+		config.Limits = DefaultLimits()
+	}
 	return &Router{
 		config:   config,
 		rng:      rng,
@@ -300,20 +329,18 @@
 	median := r.medianLatency(now, g)
 	var best *Target
 	bestScore := 0.0
+	reason := caller.ReasonNearest
 	for level := sameZone; level < tiers; level++ {
 		target, score := r.better(now, g.scratch, level, median)
-		if target == nil {
-			continue
-		}
-		if score < spillUtilization {
-			if level == sameZone || best == nil {
-				return target, caller.ReasonNearest
+		if target != nil && (best == nil || score < bestScore) {
+			if best != nil {
+				reason = caller.ReasonSpill
 			}
-			return target, caller.ReasonSpill
-		}
-		if best == nil || score < bestScore {
 			best, bestScore = target, score
 		}
+		if best != nil && bestScore < r.config.Limits.leaves(level) {
+			return best, reason
+		}
 	}
 	return best, caller.ReasonLeastLoaded
 }
