--- a/internal/request/dispatcher/throttle.go
+++ b/internal/request/dispatcher/throttle.go
@@ -4,8 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/throttler"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 )
 
 // patienceShare is the share of its objective for which a client's request may
@@ -13,6 +17,17 @@
 // than an early one.
 const patienceShare = 0.25
 
+// Urgent requests are let in until a third of them fail: what they leave room
+// for by failing is worth less.
+var (
+	urgentPolicy = throttler.Policy{Few: 0.15, Many: 0.35, Cut: 0.4}
+	otherPolicy  = throttler.Policy{Few: 0.05, Many: 0.12, Cut: 0.6}
+)
+
+// retryShare is the share of its objective after which a refused client may come
+// back, so that it can still be served in time.
+const retryShare = 1.0 / 3
+
 // refuseEarly refuses a client's request whose kind mostly fails, before any work
 // is done for it. Calls of backend servers pass: the request that they are made
 // for was let in already, and waits for them as long as its time allows.
@@ -25,19 +40,23 @@
 		return nil
 	}
 	call.Patience = time.Duration(patienceShare * float64(call.Objective))
-	if d.admits(now, call.Route) {
+	if d.admits(now, call) {
 		return nil
 	}
 	d.record(call, recorder.Refuse, caller.ReasonThrottled, caller.NotRun, "", 0)
 	answer := caller.Refuse(caller.NotRun, caller.ReasonThrottled)
-	answer.RetryAfter = retryAfter
+	answer.RetryAfter = time.Duration(retryShare * float64(call.Objective))
 	return answer
 }
 
-func (d *Dispatcher) admits(now time.Time, route string) bool {
+func (d *Dispatcher) admits(now time.Time, call *caller.Call) bool {
+	policy := otherPolicy
+	if call.Priority.Criticality() == describer.Critical {
+		policy = urgentPolicy
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.throttle.Admit(now, route)
+	return d.throttle.Admit(now, call.Route, policy)
 }
 
 // class reports whether a route is called by backend servers, if that is known.
@@ -59,8 +78,9 @@
 	if answer.Outcome == caller.Answered {
 		d.classes[call.Route] = answer.Inner
 	}
-	served := answer.Outcome == caller.Answered && answer.Status < 500
-	if served || ctx.Err() != nil {
-		d.throttle.Served(time.Now(), call.Route)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
 	}
+	served := answer.Outcome == caller.Answered && answer.Status < 500
+	d.throttle.Ended(time.Now(), call.Route, served)
 }
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -24,6 +24,9 @@
 const (
 	// defaultSpill is the utilization from which the next tier is tried.
 	defaultSpill = 0.8
+	// regionGain is by how much less busy a target of another region has to be
+	// where the way between regions has a price.
+	regionGain = 0.4
 	// loadAge is the time for which a reported load counts.
 	loadAge = time.Second
 	// latencyWeight is the weight of a new latency in the moving average.
@@ -86,6 +89,12 @@
 	}
 }
 
+// stays reports whether a target of another region is not so much less busy than
+// the best one of the own region that it is worth the way.
+func (l Limits) stays(best, other float64) bool {
+	return l.RegionSpill > l.Spill && other > best-regionGain
+}
+
 // leaves returns the utilization from which a tier is left.
 func (l Limits) leaves(level tier) float64 {
 	if level == sameZone {
@@ -332,6 +341,9 @@
 	reason := caller.ReasonNearest
 	for level := sameZone; level < tiers; level++ {
 		target, score := r.better(now, g.scratch, level, median)
+		if level == otherRegion && best != nil && r.config.Limits.stays(bestScore, score) {
+			break
+		}
 		if target != nil && (best == nil || score < bestScore) {
 			if best != nil {
 				reason = caller.ReasonSpill
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -194,3 +194,92 @@
 		})
 	}
 }
+
+func TestRegionsAreLeftOnlyForRealSpare(t *testing.T) {
+	member := func(id, zone, region string) *encoder.Member {
+		return &encoder.Member{
+			Id:          id,
+			Incarnation: 1,
+			Zone:        zone,
+			Region:      region,
+			Team:        "t",
+			Service:     "s",
+			Slots:       10,
+		}
+	}
+	service := describer.ServiceName{Team: "t", Name: "s"}
+	for name, test := range map[string]struct {
+		own, near, far int
+		want           string
+	}{
+		"own zone free":                {own: 2, near: 0, far: 0, want: "own"},
+		"own zone full":                {own: 10, near: 3, far: 0, want: "near"},
+		"region busy, not overloaded":  {own: 13, near: 12, far: 0, want: "near"},
+		"region overloaded, far free":  {own: 20, near: 20, far: 2, want: "far"},
+		"all overloaded":               {own: 22, near: 20, far: 18, want: "near"},
+		"region overloaded, far busy":  {own: 22, near: 20, far: 12, want: "far"},
+		"own zone full, region beyond": {own: 10, near: 14, far: 0, want: "own"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			r := New(Config{
+				Zone:   "z1",
+				Region: "r1",
+				Limits: Limits{Spill: 0.8, RegionSpill: 1.6},
+			}, rand.New(rand.NewPCG(1, 2)))
+			for _, target := range []struct {
+				member *encoder.Member
+				busy   int
+			}{
+				{member("own", "z1", "r1"), test.own},
+				{member("near", "z2", "r1"), test.near},
+				{member("far", "z3", "r2"), test.far},
+			} {
+				r.Update(now, target.member)
+				for range target.busy {
+					r.Started(now, r.Target(target.member.GetId()))
+				}
+			}
+			got, _ := r.Choose(now, service, Constraints{CrossRegion: true})
+			if got.Member.GetId() != test.want {
+				t.Errorf("got %s, want %s", got.Member.GetId(), test.want)
+			}
+		})
+	}
+}
+
+func TestMembersWithoutABackendServerAreNoTargets(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	r := New(Config{}, rand.New(rand.NewPCG(1, 2)))
+	service := describer.ServiceName{Team: "t", Name: "s"}
+	update := func(state encoder.BackendState, id string) {
+		r.Update(now, &encoder.Member{
+			Id:          "n",
+			Incarnation: 1,
+			Team:        "t",
+			Service:     "s",
+			Registers:   true,
+			Backend:     &encoder.Backend{Id: id, State: state},
+		})
+	}
+	for _, step := range []struct {
+		state encoder.BackendState
+		id    string
+		want  bool
+	}{
+		{encoder.BackendState_BACKEND_GONE, "", false},
+		{encoder.BackendState_BACKEND_READY, "a", true},
+		{encoder.BackendState_BACKEND_DRAINING, "a", false},
+		{encoder.BackendState_BACKEND_READY, "b", true},
+		{encoder.BackendState_BACKEND_GONE, "b", false},
+	} {
+		update(step.state, step.id)
+		got, _ := r.Choose(now, service, Constraints{})
+		if (got != nil) != step.want {
+			t.Errorf("%s %q: got target %v, want one: %t", step.state, step.id, got, step.want)
+		}
+		if got != nil && got.Member.GetBackend().GetId() != step.id {
+			t.Errorf("got instance %q, want %q", got.Member.GetBackend().GetId(), step.id)
+		}
+	}
+}
--- a/internal/request/throttler/throttler.go
+++ b/internal/request/throttler/throttler.go
@@ -1,16 +1,16 @@
-// Package throttler refuses requests at their entry when most of their kind
+// Package throttler refuses requests at their entry when many of their kind
 // would fail further down, before any work is done for them.
 //
-// The entry need not know where the bottleneck is or what a request costs there:
-// it compares the requests of a route with those that were served, and lets
-// through little more than what is served. All nodes together settle near the
+// The entry need not know where the bottleneck is or what a request costs there.
+// It lets a share of each route's requests in, lowers the share when those let in
+// fail, and raises it when they are served. All nodes together settle near the
 // load that the bottleneck can take.
 //
 // # Usage
 //
 //	t := throttler.New(rng)
-//	if !t.Admit(now, "r-7") { refuse }
-//	t.Served(now, "r-7")
+//	if !t.Admit(now, "r-7", policy) { refuse }
+//	t.Ended(now, "r-7", served)
 package throttler
 
 import (
@@ -21,76 +21,125 @@
 
 // Throttle parameters.
 const (
-	// memory is the time constant of the counts: long against a request, short
-	// against a surge.
-	memory = 2 * time.Second
-	// headroom is how many requests are let through for each one served; the
-	// excess finds out when there is room again.
-	headroom = 1.15
-	// spare is the number of failures within the memory that refuse nothing,
-	// since few requests say little.
-	spare = 3
-	// maxRefused leaves some requests of each route to find out.
-	maxRefused = 0.9
+	// window is the time between two changes of a share: long enough for the
+	// outcome of the last change to show.
+	window = 500 * time.Millisecond
+	// minEnded is the number of ended requests that a window needs, and
+	// maxWindow the time after which fewer are enough.
+	minEnded  = 4
+	maxWindow = time.Second
+	// minFailures keeps a single failure from lowering the share.
+	minFailures = 2
+	// step raises the share in the first window without many failures. Later
+	// windows raise it faster, by stepGrowth as power of their number, so that
+	// all requests are let in again within 5 s, and a share that is nearly right
+	// is raised with care.
+	step       = 0.02
+	stepGrowth = 1.5
+	// leastShare leaves some requests of each route to find out.
+	leastShare = 0.08
 )
 
+// Policy is how a route's share follows its failures.
+type Policy struct {
+	// Few is the share of failures that does not count as overload, and Many
+	// that from which the share is lowered. Backend servers fail some requests
+	// for reasons of their own.
+	Few  float64
+	Many float64
+	// Cut is the part of the failures by which the share is lowered.
+	Cut float64
+}
+
 // Throttler decides for each route by itself. It is not safe for concurrent use;
 // its owner holds one lock around every method.
 type Throttler struct {
 	rng    *rand.Rand
-	routes map[string]*counts
+	routes map[string]*route
 }
 
-// counts are the requests of one route, fading over time.
-type counts struct {
-	at       time.Time
-	requests float64
-	served   float64
+// route is the share of a route's requests that are let in.
+type route struct {
+	share   float64
+	started time.Time
+	ended   int
+	failed  int
+	// settling tells that the share was lowered in the last window, so that
+	// what ends now was let in before.
+	settling bool
+	// calm is the number of windows since the share was lowered.
+	calm int
 }
 
-// New returns a Throttler that refuses nothing yet.
+// New returns a Throttler that lets all requests in.
 func New(rng *rand.Rand) *Throttler {
 	return &Throttler{
 		rng:    rng,
-		routes: make(map[string]*counts),
+		routes: make(map[string]*route),
 	}
 }
 
-// Admit counts a request and reports whether it may pass.
-func (t *Throttler) Admit(now time.Time, route string) bool {
-	c := t.fade(now, route)
-	refused := c.refusedShare()
-	c.requests++
-	return refused == 0 || t.rng.Float64() >= refused
+// Admit reports whether a request may pass.
+func (t *Throttler) Admit(now time.Time, name string, policy Policy) bool {
+	r := t.route(now, name)
+	r.roll(now, policy)
+	return r.share >= 1 || t.rng.Float64() < r.share
 }
 
-// Served counts a request that was served, or whose failure says nothing about
-// the load.
-func (t *Throttler) Served(now time.Time, route string) {
-	t.fade(now, route).served++
+// Ended takes the outcome of a request that was let in.
+func (t *Throttler) Ended(now time.Time, name string, served bool) {
+	r := t.route(now, name)
+	r.ended++
+	if !served {
+		r.failed++
+	}
 }
 
-// fade returns the counts of a route as they are now.
-func (t *Throttler) fade(now time.Time, route string) *counts {
-	c := t.routes[route]
-	if c == nil {
-		c = &counts{
-			at: now,
+// Share returns the share of a route's requests that are let in.
+func (t *Throttler) Share(name string) float64 {
+	if r := t.routes[name]; r != nil {
+		return r.share
+	}
+	return 1
+}
+
+func (t *Throttler) route(now time.Time, name string) *route {
+	r := t.routes[name]
+	if r == nil {
+		r = &route{
+			share:   1,
+			started: now,
 		}
-		t.routes[route] = c
+		t.routes[name] = r
 	}
-	kept := math.Exp(-float64(now.Sub(c.at)) / float64(memory))
-	c.requests *= kept
-	c.served *= kept
-	c.at = now
-	return c
+	return r
 }
 
-// refusedShare returns the share of requests to refuse.
-func (c *counts) refusedShare() float64 {
-	excess := c.requests - headroom*c.served - spare
-	if excess <= 0 {
-		return 0
+// roll ends the window when it is over.
+func (r *route) roll(now time.Time, policy Policy) {
+	length := now.Sub(r.started)
+	if length < window || (r.ended < minEnded && length < maxWindow) {
+		return
+	}
+	failures := 0.0
+	if r.ended > 0 {
+		failures = float64(r.failed) / float64(r.ended)
+	}
+	switch {
+	case failures > policy.Many && r.failed >= minFailures:
+		if !r.settling {
+			r.share = max(r.share*(1-policy.Cut*failures), leastShare)
+		}
+		r.settling = !r.settling
+		r.calm = 0
+	case failures <= policy.Few:
+		r.calm++
+		r.share = min(r.share+step*math.Pow(float64(r.calm), stepGrowth), 1)
+		r.settling = false
+	default:
+		r.settling = false
 	}
-	return min(excess/(c.requests+1), maxRefused)
+	r.started = now
+	r.ended = 0
+	r.failed = 0
 }
