Refuse what reaches a stopping node too late, and explain more

After 3 s a stopping node now refuses new requests, true to not run, and ends its connections; calls of its backend server pass.

Decision lines tell the settings version and the age of the load report; latency histograms stand beside the counters; bodies over the configured limit get 413.

--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -100,6 +100,12 @@
 	if !ok {
 		return nil, r.refusal(call, caller.ReasonNoRoute, "")
 	}
+	if limit := settings.Hosts[route.Destinations[0].Service.Team].Limits.BodyBytes; limit > 0 {
+		if req.ContentLength > limit {
+			return nil, r.refusal(call, caller.ReasonBodyTooLarge, "")
+		}
+		req.Body = http.MaxBytesReader(nil, req.Body, limit)
+	}
 	if err := r.fill(call, req, route, now); err != nil {
 		return nil, r.refusal(call, caller.ReasonBadRequest, err.Error())
 	}
@@ -198,6 +204,8 @@
 	switch {
 	case answer.Reason == caller.ReasonNoRoute:
 		return http.StatusNotFound
+	case answer.Reason == caller.ReasonBodyTooLarge && answer.Outcome == caller.NotRun:
+		return http.StatusRequestEntityTooLarge
 	case answer.Reason == caller.ReasonBadRequest:
 		return http.StatusBadRequest
 	case answer.Outcome == caller.NotRun:
--- a/internal/connection/receiver/receiver_test.go
+++ b/internal/connection/receiver/receiver_test.go
@@ -33,6 +33,7 @@
 	}
 	desk := describer.ServiceName{Team: "county", Name: "desk"}
 	spare := describer.ServiceName{Team: "county", Name: "spare"}
+	table.Limits.BodyBytes = 100
 	table.Add("h.example", []describer.HostRoute{
 		{Name: "a", Path: "/a/", Idempotent: true, Rank: 2, Timeout: time.Second, Attempts: 2, Destinations: []describer.Destination{{Service: desk, Weight: 1}}},
 		{Name: "ab", Path: "/a/b/", Timeout: 3 * time.Second, Attempts: 1, Destinations: []describer.Destination{{Service: desk, Weight: 90}, {Service: spare, Weight: 10}, {Service: spare, Weight: 0}}},
@@ -139,6 +140,10 @@
 	noID.Header.Del("Id")
 	badTimeout := request("/a/x")
 	badTimeout.Header.Set("Timeout", "soon")
+	tooLarge := request("/a/x")
+	tooLarge.Method = "PUT"
+	tooLarge.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 101)))
+	tooLarge.ContentLength = 101
 	none := func() *describer.Settings { return &describer.Settings{} }
 	for name, test := range map[string]struct {
 		req        *http.Request
@@ -154,6 +159,7 @@
 		"no route":    {request("/b/"), settings, whole, 404, ""},
 		"no ID":       {noID, settings, whole, 400, ""},
 		"bad timeout": {badTimeout, settings, whole, 400, ""},
+		"too large":   {tooLarge, settings, whole, 413, ""},
 		"no settings": {request("/b/"), none, whole, 503, "0.500"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/runner/drain.go
+++ b/internal/process/runner/drain.go
@@ -49,6 +49,7 @@
 	// calls begin after it.
 	steps := []func() <-chan struct{}{
 		func() <-chan struct{} { return lingered },
+		n.closeCalls,
 		n.executor.Idle,
 		func() <-chan struct{} { return n.callsIdle(ctx) },
 	}
@@ -67,6 +68,19 @@
 	return nil
 }
 
+// closeCalls takes no more new requests on the users' platform, where a node that
+// says that it is not ready still gets some, and tells callers to close their
+// connections. Calls of the local backend server pass, for what it still runs.
+func (n *Node) closeCalls() <-chan struct{} {
+	if n.config.Platform != nil {
+		n.closing.Store(true)
+		n.callServer.SetKeepAlivesEnabled(false)
+	}
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
 // callsIdle returns a channel that is closed once no caller's request is open.
 func (n *Node) callsIdle(ctx context.Context) <-chan struct{} {
 	const poll = 20 * time.Millisecond
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -25,6 +25,10 @@
 // passed on; nearly all answers on the platform are smaller.
 const readAheadBytes = 64 << 10
 
+// leavingRetryAfter is what a caller is told to wait that reaches a node at its
+// end; other nodes serve at once.
+const leavingRetryAfter = 100 * time.Millisecond
+
 // cancelGrace is half of the time after which a backend server must not work for
 // a client that has left.
 const cancelGrace = 250 * time.Millisecond
--- a/internal/process/runner/platform_test.go
+++ b/internal/process/runner/platform_test.go
@@ -1,19 +1,19 @@
 package runner
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"net/http/httptest"
-
 	"github.com/sirupsen/logrus"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/platform/logserver"
@@ -422,3 +422,43 @@
 		t.Errorf("the stop took %s, want at most %s", took, grace)
 	}
 }
+
+func TestPlatformRequestsThatComeTooLateForADrainAreRefused(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "")
+	target, leaving := d.start("a"), d.start("b")
+	d.beat(target, "ready", 1)
+	d.beat(leaving, "ready", 1)
+	d.settled(target, leaving)
+	target.delay.Store(int64(1500 * time.Millisecond))
+	leaving.node.Drain()
+	// Keeps a request open across the end of the time for which the node serves on.
+	time.Sleep(leaveTime - 500*time.Millisecond)
+	open := make(chan answer, 1)
+	go func() {
+		open <- d.send(leaving, "POST", "/once/1", "open")
+	}()
+	conn, err := net.Dial("tcp", leaving.config.CallAddress.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	time.Sleep(time.Second)
+	runs := target.runs.Load()
+	fmt.Fprint(conn, "GET /safe/1 HTTP/1.1\r\nHost: h.example\r\nX-Laburnumshelf-Request-Id: late\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("late request: got %d, Retry-After %q, close %t, want 503 with a time and the end of the connection", resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close)
+	}
+	if got := target.runs.Load(); got != runs {
+		t.Error("the late request ran")
+	}
+	if got := <-open; got.status != 200 {
+		t.Errorf("open request: got %d, want 200", got.status)
+	}
+	<-leaving.done
+}
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -82,9 +82,13 @@
 	stopTimeout atomic.Int64
 	// stopBy is when a drain has to have ended, in nanoseconds since 1970; 0
 	// before the drain.
-	stopBy atomic.Int64
-	drainOnce   sync.Once
-	draining    chan struct{}
+	stopBy    atomic.Int64
+	drainOnce sync.Once
+	// callServer serves callers, and closing tells that it takes no new requests
+	// any more.
+	callServer *http.Server
+	closing    atomic.Bool
+	draining   chan struct{}
 }
 
 type listeners struct {
@@ -244,6 +248,8 @@
 func (n *Node) handleCalls(inbound *tracker.Table) {
 	expvarOnce.Do(func() {
 		expvar.Publish("decisions", n.recorder.Var())
+		expvar.Publish("callMicros", n.recorder.Calls.Var())
+		expvar.Publish("runMicros", n.recorder.Runs.Var())
 		expvar.Publish("badRecords", expvar.Func(func() any {
 			return n.follower.BadRecords()
 		}))
@@ -329,6 +335,11 @@
 		}
 	default:
 	}
+	if n.closing.Load() && !n.dispatcher.Inner(call.Route) {
+		answer := caller.Refuse(caller.NotRun, caller.ReasonLeaving)
+		answer.RetryAfter = leavingRetryAfter
+		return answer
+	}
 	return n.dispatcher.Dispatch(ctx, call)
 }
 
@@ -338,7 +349,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	n.addServer(&group, n.listeners.calls, n.callHandler)
+	n.callServer = n.addServer(&group, n.listeners.calls, n.callHandler)
 	n.addServer(&group, n.listeners.admin, administrator.New(n))
 	group.Add(func() error {
 		return n.acceptor.Serve(n.listeners.peers)
@@ -394,7 +405,7 @@
 	return by
 }
 
-func (n *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
+func (n *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler: handler,
 	}
@@ -409,4 +420,5 @@
 		defer cancel()
 		server.Shutdown(ctx)
 	})
+	return server
 }
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -195,6 +195,8 @@
 	// Objective is the time within which an answer has its full value; 0 means
 	// that none is known.
 	Objective time.Duration
+	// LoadAge is the age of the load report by which the target was chosen.
+	LoadAge time.Duration
 	// ResolveOnly asks what became of the token's call without running it.
 	ResolveOnly bool
 	Zone        string
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -14,6 +14,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
 // attempts is the state of one outbound call over all its attempts.
@@ -31,6 +32,9 @@
 	mayRun  bool
 	resolve int
 	path    caller.Priority
+	// member and loadAge are those of the target chosen last.
+	member  *encoder.Member
+	loadAge time.Duration
 }
 
 // prepare refuses what must not be attempted and takes the allowance.
@@ -165,7 +169,7 @@
 
 // attempt makes one attempt, or one question about a bound call.
 func (a *attempts) attempt(ctx context.Context) *caller.Answer {
-	target, reason := a.choose()
+	target, reason := a.pick()
 	if target == nil {
 		outcome := caller.NotRun
 		if a.call.Token != nil && !a.minted || a.mayRun {
@@ -178,16 +182,17 @@
 	call.Charged = a.call.Charged || a.mayRun
 	call.Zone = a.d.config.Zone
 	call.ResolveOnly = a.resolve > 0
-	call.Instance = target.Member.GetBackend().GetId()
+	call.Instance = a.member.GetBackend().GetId()
+	call.LoadAge = a.loadAge
 	call.Allowance = a.lend()
 	action := recorder.Route
 	if call.ResolveOnly {
 		action = recorder.Resolve
 	}
-	id := target.Member.GetId()
+	id := a.member.GetId()
 	a.tried = append(a.tried, id)
 	a.d.record(&call, action, reason, caller.Answered, id, 0)
-	answer, err := a.d.send(ctx, target, &call)
+	answer, err := a.d.send(ctx, target, a.member, &call)
 	a.made++
 	if err != nil {
 		return a.failed(ctx, &call, id, err)
@@ -248,10 +253,20 @@
 	return answer
 }
 
-// choose returns the target of the next attempt.
-func (a *attempts) choose() (*router.Target, caller.Reason) {
+// pick chooses the target of the next attempt and keeps what is known of it now.
+func (a *attempts) pick() (*router.Target, caller.Reason) {
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
+	target, reason := a.choose()
+	if target != nil {
+		a.member = target.Member
+		a.loadAge = target.LoadAge(time.Now())
+	}
+	return target, reason
+}
+
+// choose returns the target of the next attempt; a.d.mu is held.
+func (a *attempts) choose() (*router.Target, caller.Reason) {
 	if a.call.Token != nil {
 		target := a.d.router.Target(a.call.Token.GetTarget())
 		if target == nil {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -165,6 +165,10 @@
 		call:    call,
 		service: d.config.Settings().Service(call.Service),
 	}
+	started := time.Now()
+	defer func() {
+		d.config.Recorder.Calls.Record(time.Since(started))
+	}()
 	a.parent = d.config.Inbound.Find(call.ParentID)
 	if refusal := a.prepare(); refusal != nil {
 		return refusal
@@ -211,16 +215,18 @@
 		Priority:  call.Priority,
 		Threshold: threshold,
 		Allowance: call.Allowance,
+		Settings:  d.config.Settings().Version,
+		LoadAge:   call.LoadAge,
 	})
 }
 
 // send makes one attempt at a target and observes it.
-func (d *Dispatcher) send(ctx context.Context, target *router.Target, call *caller.Call) (*caller.Answer, error) {
+func (d *Dispatcher) send(ctx context.Context, target *router.Target, member *encoder.Member, call *caller.Call) (*caller.Answer, error) {
 	started := time.Now()
 	d.mu.Lock()
 	d.router.Started(started, target)
 	d.mu.Unlock()
-	answer, err := d.config.Transport.Call(ctx, target.Member, call)
+	answer, err := d.config.Transport.Call(ctx, member, call)
 	now := time.Now()
 	observation := router.Observation{}
 	if err != nil {
--- a/internal/request/dispatcher/throttle.go
+++ b/internal/request/dispatcher/throttle.go
@@ -67,6 +67,12 @@
 	return inner, known
 }
 
+// Inner reports whether a route is known to be called by backend servers.
+func (d *Dispatcher) Inner(route string) bool {
+	inner, _ := d.class(route)
+	return inner
+}
+
 // learn takes what an answer tells of its route. A caller that gave up says
 // nothing about the load.
 func (d *Dispatcher) learn(ctx context.Context, call *caller.Call, answer *caller.Answer) {
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -383,6 +383,7 @@
 	now := time.Now()
 	e.config.Inbound.Remove(call.CallID)
 	total := now.Sub(ticket.Started())
+	e.config.Recorder.Runs.Record(total)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.admitter.Done(now, ticket, inbound.Waited(now), failed)
@@ -441,6 +442,7 @@
 		Target:    e.config.ID,
 		Priority:  call.Priority,
 		Allowance: call.Allowance,
+		Settings:  e.config.Settings().Version,
 		Wait:      wait,
 	})
 }
--- a/internal/request/recorder/recorder.go
+++ b/internal/request/recorder/recorder.go
@@ -63,6 +63,10 @@
 	Threshold caller.Priority
 	Allowance uint32
 	Wait      time.Duration
+	// Settings is the version in force when the decision was taken.
+	Settings int64
+	// LoadAge is the age of the target's load report that a choice rests on.
+	LoadAge time.Duration
 	// logged tells that the decision's line was written.
 	logged bool
 }
@@ -90,6 +94,8 @@
 	Threshold uint16    `json:"threshold"`
 	Allowance uint32    `json:"allowance"`
 	Wait      string    `json:"wait,omitempty"`
+	Settings  int64     `json:"settings"`
+	LoadAge   string    `json:"loadAge,omitempty"`
 }
 
 // Export returns the JSON form of the decision taken at node.
@@ -110,6 +116,10 @@
 		Priority:  uint16(d.Priority),
 		Threshold: uint16(d.Threshold),
 		Allowance: d.Allowance,
+		Settings:  d.Settings,
+	}
+	if d.LoadAge > 0 {
+		exported.LoadAge = d.LoadAge.String()
 	}
 	if d.Wait > 0 {
 		exported.Wait = d.Wait.String()
@@ -124,6 +134,10 @@
 	node     string
 	counters [actionCount][reasonCount]atomic.Int64
 
+	// Calls is how long callers waited, Runs how long the backend server took.
+	Calls *Latencies
+	Runs  *Latencies
+
 	mu   sync.Mutex
 	ring []Decision
 	next int
@@ -166,9 +180,11 @@
 // no lines.
 func New(log *logrus.Logger, node string, size int) *Recorder {
 	return &Recorder{
-		log:  log,
-		node: node,
-		ring: make([]Decision, 0, size),
+		log:   log,
+		node:  node,
+		ring:  make([]Decision, 0, size),
+		Calls: NewLatencies(),
+		Runs:  NewLatencies(),
 	}
 }
 
@@ -191,6 +207,7 @@
 		"attempt":   d.Attempt,
 		"call":      d.CallID,
 		"hop":       d.Hop,
+		"loadAge":   d.LoadAge,
 		"node":      r.node,
 		"outcome":   d.Outcome.String(),
 		"priority":  uint16(d.Priority),
@@ -198,6 +215,7 @@
 		"request":   d.RequestID,
 		"route":     d.Route,
 		"service":   d.Service.String(),
+		"settings":  d.Settings,
 		"target":    d.Target,
 		"threshold": uint16(d.Threshold),
 		"wait":      d.Wait,
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -132,6 +132,14 @@
 	return t.load
 }
 
+// LoadAge returns the age of the target's last load report, or 0 without one.
+func (t *Target) LoadAge(now time.Time) time.Duration {
+	if t.loadTime.IsZero() {
+		return 0
+	}
+	return now.Sub(t.loadTime)
+}
+
 // Ejected reports whether the target is ejected at now.
 func (t *Target) Ejected(now time.Time) bool {
 	return now.Before(t.ejectedTo)
