--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 test: fmt vet lint unit replays known
 
 fmt:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "run gofmt -w cmd internal"; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; echo "run gofmt -w cmd internal platform"; exit 1; }
 
 vet:
 	go vet ./...
--- a/internal/connection/forwarder/conn.go
+++ b/internal/connection/forwarder/conn.go
@@ -59,6 +59,7 @@
 		ReadCloser: resp.Body,
 		conn:       c,
 		watch:      watch,
+		whole:      resp.Body == http.NoBody || resp.ContentLength == 0,
 		sent:       sent,
 		reusable:   !resp.Close,
 		idle:       idleTime(resp.Header),
@@ -160,11 +161,6 @@
 // nothing else came.
 func (b *body) finish() {
 	running := b.watch.end()
-	if !b.whole {
-		// Empty bodies are whole without a read.
-		n, err := b.ReadCloser.Read(make([]byte, 1))
-		b.whole = n == 0 && errors.Is(err, io.EOF) && running
-	}
 	requestSent := false
 	select {
 	case err := <-b.sent:
--- a/internal/connection/forwarder/forwarder_test.go
+++ b/internal/connection/forwarder/forwarder_test.go
@@ -323,6 +323,28 @@
 	}
 }
 
+func TestAnswerLeftUnreadHoldsUpNobody(t *testing.T) {
+	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+		http.ReadRequest(r)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nContent-Length: 5000\r\n\r\npart")
+		r.ReadByte()
+	})
+	got, err := b.forwarder(t).Do(t.Context(), call("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan struct{})
+	go func() {
+		got.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("closing an unread answer still waits after 5 s")
+	}
+}
+
 func TestConnectionRetiresBeforeTheStatedIdleTime(t *testing.T) {
 	for header, want := range map[string]time.Duration{
 		"timeout=10":        9 * time.Second,
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -73,78 +73,6 @@
 	Switches Switches
 }
 
-// Limits is the utilizations from which targets further away are tried.
-type Limits struct {
-	// Spill is that from which the node's zone is left, RegionSpill its region.
-	Spill       float64
-	RegionSpill float64
-}
-
-// DefaultLimits returns the limits for which the way between regions has no
-// price.
-func DefaultLimits() Limits {
-	return Limits{
-		Spill:       defaultSpill,
-		RegionSpill: defaultSpill,
-	}
-}
-
-// stays reports whether a target of another region is not so much less busy than
-// the best one of the own region that it is worth the way.
-func (l Limits) stays(best, other float64) bool {
-	return l.RegionSpill > l.Spill && other > best-regionGain
-}
-
-// leaves returns the utilization from which a tier is left.
-func (l Limits) leaves(level tier) float64 {
-	if level == sameZone {
-		return l.Spill
-	}
-	return l.RegionSpill
-}
-
-// Target is one backend server with what this node observed of it.
-type Target struct {
-	Member *encoder.Member
-
-	inFlight int
-	// busySince is when the target last answered or got its first unanswered
-	// attempt.
-	busySince   time.Time
-	latency     time.Duration
-	latencyTime time.Time
-	samples     int
-	load        caller.Load
-	loadTime    time.Time
-	failures    int
-	ejections   int
-	ejectedTo   time.Time
-	since       time.Time
-}
-
-// InFlight returns the attempts of this node that the target has not answered.
-func (t *Target) InFlight() int {
-	return t.inFlight
-}
-
-// Load returns the load that the target last reported.
-func (t *Target) Load() caller.Load {
-	return t.load
-}
-
-// LoadAge returns the age of the target's last load report, or 0 without one.
-func (t *Target) LoadAge(now time.Time) time.Duration {
-	if t.loadTime.IsZero() {
-		return 0
-	}
-	return now.Sub(t.loadTime)
-}
-
-// Ejected reports whether the target is ejected at now.
-func (t *Target) Ejected(now time.Time) bool {
-	return now.Before(t.ejectedTo)
-}
-
 // Constraints limits one choice.
 type Constraints struct {
 	// Exclude lists the member IDs already tried.
@@ -153,15 +81,6 @@
 	CrossRegion bool
 }
 
-// Observation is what one attempt showed.
-type Observation struct {
-	Latency time.Duration
-	// Load is nil when the target did not answer.
-	Load *caller.Load
-	// Failed marks an attempt that the target did not answer or failed.
-	Failed bool
-}
-
 // Router holds the known targets of each service. It is not safe for concurrent
 // use; its owner holds one lock around every method.
 type Router struct {
@@ -235,12 +154,6 @@
 		a.GetBackend().GetBornUnixMilli() == b.GetBackend().GetBornUnixMilli()
 }
 
-// leaving reports whether the target takes no new work.
-func (t *Target) leaving() bool {
-	return t.Member.GetState() == encoder.MemberState_LEAVING || t.load.Leaving ||
-		t.Member.GetBackend().GetState() == encoder.BackendState_BACKEND_DRAINING
-}
-
 func (r *Router) add(now time.Time, member *encoder.Member) {
 	target := &Target{
 		Member: member,
@@ -299,16 +212,6 @@
 	return float64(busy) / float64(len(g.targets))
 }
 
-// tier is how near a target is.
-type tier int
-
-const (
-	sameZone tier = iota
-	sameRegion
-	otherRegion
-	tiers
-)
-
 func (r *Router) tierOf(target *Target) tier {
 	switch {
 	case r.config.Switches.NoZones:
@@ -434,56 +337,3 @@
 	}
 	return first, firstScore
 }
-
-// Started notes the start of an attempt.
-func (r *Router) Started(now time.Time, target *Target) {
-	if target.inFlight == 0 {
-		target.busySince = now
-	}
-	target.inFlight++
-}
-
-// Finished notes the end of an attempt.
-func (r *Router) Finished(now time.Time, target *Target, seen Observation) {
-	target.inFlight--
-	if seen.Load != nil {
-		target.busySince = now
-		target.load = *seen.Load
-		target.loadTime = now
-	}
-	if seen.Failed {
-		r.failed(now, target)
-		return
-	}
-	if seen.Load == nil {
-		return
-	}
-	target.failures = 0
-	if !target.Ejected(now) {
-		target.ejections = 0
-	}
-	if seen.Latency > 0 {
-		target.observe(now, seen.Latency)
-	}
-}
-
-func (t *Target) observe(now time.Time, latency time.Duration) {
-	if t.samples == 0 || now.Sub(t.latencyTime) > latencyAge {
-		t.latency = latency
-		t.samples = 0
-	}
-	t.latency += time.Duration(latencyWeight * float64(latency-t.latency))
-	t.latencyTime = now
-	t.samples++
-}
-
-func (r *Router) failed(now time.Time, target *Target) {
-	target.failures++
-	if target.failures < ejectFailures {
-		return
-	}
-	target.failures = 0
-	duration := min(ejectBase<<min(target.ejections, 10), ejectLimit)
-	target.ejections++
-	target.ejectedTo = now.Add(duration + time.Duration(r.rng.Int64N(int64(duration/4))))
-}
