--- a/internal/process/runner/reload.go
+++ b/internal/process/runner/reload.go
@@ -12,9 +12,14 @@
 // level and the stop timeout. Others take effect at the next start, and are
 // named in the log.
 func (n *Node) Reload(config configurer.Config, cause string) {
-	if level, err := logrus.ParseLevel(config.LogLevel); err == nil {
-		n.log.SetLevel(level)
+	before := n.log.GetLevel()
+	level, err := logrus.ParseLevel(config.LogLevel)
+	if err != nil {
+		level = before
 	}
+	// The line is written at the more talkative of the two levels.
+	n.log.SetLevel(max(before, level))
+	defer n.log.SetLevel(level)
 	n.stopTimeout.Store(int64(config.StopTimeout))
 	n.log.WithFields(logrus.Fields{
 		"cause":       cause,
