Clone a request's headers in one place, and drop what nothing calls

gateway and receiver each cloned the headers that travel with a call; labeler.Forwarded now does it for both. throttler.Share had no caller. Six platform tests set up the same two places by hand; pair does. No behaviour changes, no assertion changed.

--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -206,14 +206,11 @@
 
 // forwarded returns the headers that travel with a call.
 func forwarded(req *http.Request) http.Header {
-	h := req.Header.Clone()
-	labeler.RemoveHopByHop(h)
+	h := labeler.Forwarded(req)
 	for name := range h {
 		if strings.HasPrefix(name, "Shelf-") {
 			h.Del(name)
 		}
 	}
-	h.Del("Content-Length")
-	h.Set("Host", req.Host)
 	return h
 }
--- a/internal/connection/labeler/labeler.go
+++ b/internal/connection/labeler/labeler.go
@@ -94,6 +94,16 @@
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// Forwarded returns the headers of a request that travel with its call; the caller
+// removes those that only nodes set.
+func Forwarded(req *http.Request) http.Header {
+	h := req.Header.Clone()
+	RemoveHopByHop(h)
+	h.Del("Content-Length")
+	h.Set("Host", req.Host)
+	return h
+}
+
 // RemoveHopByHop removes the headers that concern a single connection.
 func RemoveHopByHop(h http.Header) {
 	for _, value := range h["Connection"] {
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -136,7 +136,8 @@
 	call.MaxTargets = uint32(route.Attempts)
 	call.Deadline = now.Add(timeout)
 	call.Priority = caller.NewPriority(route.Criticality(), call.RequestID, now)
-	call.Header = forwarded(req, r.config.Dialect)
+	call.Header = labeler.Forwarded(req)
+	r.config.Dialect.Strip(call.Header)
 	return nil
 }
 
@@ -159,16 +160,6 @@
 	return destinations[0].Service
 }
 
-// forwarded returns the headers that travel with a call.
-func forwarded(req *http.Request, dialect labeler.Dialect) http.Header {
-	h := req.Header.Clone()
-	labeler.RemoveHopByHop(h)
-	dialect.Strip(h)
-	h.Del("Content-Length")
-	h.Set("Host", req.Host)
-	return h
-}
-
 // refusal refuses a request before it becomes a call.
 func (r *receiver) refusal(call *caller.Call, reason caller.Reason, detail string) *caller.Answer {
 	answer := caller.Refuse(caller.NotRun, reason)
--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -248,3 +248,15 @@
 		return true
 	})
 }
+
+// pair starts a place of service a and one of service b that know each other and
+// the first configuration.
+func (d *deployment) pair() (a, b *place) {
+	d.t.Helper()
+	d.configure(1, "")
+	a, b = d.start("a"), d.start("b")
+	d.beat(a, "ready", 1)
+	d.beat(b, "ready", 1)
+	d.settled(a, b)
+	return a, b
+}
--- a/internal/process/runner/platform_test.go
+++ b/internal/process/runner/platform_test.go
@@ -73,11 +73,7 @@
 
 func TestPlatformNodeThatStartsAgainIsFound(t *testing.T) {
 	d := newDeployment(t)
-	d.configure(1, "")
-	target, entry := d.start("a"), d.start("b")
-	d.beat(target, "ready", 1)
-	d.beat(entry, "ready", 1)
-	d.settled(target, entry)
+	target, entry := d.pair()
 	target.stop()
 	<-target.done
 	d.run(target)
@@ -91,11 +87,7 @@
 func TestPlatformAnswersAtTheRoutesTimeout(t *testing.T) {
 	const timeout = 2 * time.Second
 	d := newDeployment(t)
-	d.configure(1, "")
-	target, entry := d.start("a"), d.start("b")
-	d.beat(target, "ready", 1)
-	d.beat(entry, "ready", 1)
-	d.settled(target, entry)
+	target, entry := d.pair()
 	target.delay.Store(int64(4 * time.Second))
 	for i, request := range []struct{ method, path string }{{"GET", "/safe/1"}, {"POST", "/once/1"}} {
 		started := time.Now()
@@ -111,11 +103,7 @@
 
 func TestPlatformConfigurationReachesEveryNode(t *testing.T) {
 	d := newDeployment(t)
-	d.configure(1, "")
-	a, b := d.start("a"), d.start("b")
-	d.beat(a, "ready", 1)
-	d.beat(b, "ready", 1)
-	d.settled(a, b)
+	a, b := d.pair()
 	d.configure(7, `,{"name":"new","kind":"safe","aimS":1,"priority":0,"routeMatch":{"pathPrefix":"/new/"},"routeAction":{"service":"a","timeoutS":2,"maxAttempts":1}}`)
 	d.eventually("new route everywhere", func() bool {
 		return d.send(a, "GET", "/new/1", "1").status == 200 && d.send(b, "GET", "/new/1", "2").status == 200
@@ -124,11 +112,7 @@
 
 func TestPlatformDrainServesUntilClientsHaveGone(t *testing.T) {
 	d := newDeployment(t)
-	d.configure(1, "")
-	target, leaving := d.start("a"), d.start("b")
-	d.beat(target, "ready", 1)
-	d.beat(leaving, "ready", 1)
-	d.settled(target, leaving)
+	target, leaving := d.pair()
 	target.delay.Store(int64(time.Second))
 	open := make(chan answer, 1)
 	go func() {
@@ -157,11 +141,7 @@
 func TestPlatformStopEndsWithinItsTimeout(t *testing.T) {
 	const grace = 2 * time.Second
 	d := newDeployment(t)
-	d.configure(1, "")
-	target, leaving := d.start("a"), d.start("b")
-	d.beat(target, "ready", 1)
-	d.beat(leaving, "ready", 1)
-	d.settled(target, leaving)
+	target, leaving := d.pair()
 	leaving.node.stopTimeout.Store(int64(grace))
 	target.delay.Store(int64(time.Minute))
 	// A connection without a request and one whose request is open.
@@ -184,11 +164,7 @@
 
 func TestPlatformRequestsThatComeTooLateForADrainAreRefused(t *testing.T) {
 	d := newDeployment(t)
-	d.configure(1, "")
-	target, leaving := d.start("a"), d.start("b")
-	d.beat(target, "ready", 1)
-	d.beat(leaving, "ready", 1)
-	d.settled(target, leaving)
+	target, leaving := d.pair()
 	target.delay.Store(int64(1500 * time.Millisecond))
 	leaving.node.Drain()
 	// Keeps a request open across the end of the time for which the node serves on.
--- a/internal/request/throttler/throttler.go
+++ b/internal/request/throttler/throttler.go
@@ -95,14 +95,6 @@
 	}
 }
 
-// Share returns the share of a route's requests that are let in.
-func (t *Throttler) Share(name string) float64 {
-	if r := t.routes[name]; r != nil {
-		return r.share
-	}
-	return 1
-}
-
 func (t *Throttler) route(now time.Time, name string) *route {
 	r := t.routes[name]
 	if r == nil {
