Give a restarted member a living contact beside a dead one in its test

Cause: the restarted member got one contact at random, in one of 20 cases the stopped member itself, and then nobody to join through; map order makes the draw vary from run to run.

A node without a living contact stays alone by design; in a deployment it reads the members' table again.

--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -213,6 +213,9 @@
 	delete(restarted.members, "member-0020")
 	restarted.members[old.self.member.GetId()] = restarted.self
 	restarted.ids[0] = old.self.member.GetId()
+	// One contact is dead: the node must get past it to a living one.
+	restarted.contacts = nil
+	restarted.AddContacts(old.self.address, f.tables[0].self.address)
 	f.run(20 * time.Second)
 	for _, table := range f.tables {
 		if f.stopped[table] {
