Throttle only for failures that lack of capacity causes

Cause: the entry counted every failed request against its route's share.

Change: a node keeps what the calls of its backend server fail of and reports the part that is lack of capacity (strain) with its answers; a failure counts against the share by that part only. A target without a free slot is lack of capacity in itself.

Ruled out: faster growth of the share alone; it is cut again in each window in which the faulty calls fail.

--- a/internal/connection/translator/translator.go
+++ b/internal/connection/translator/translator.go
@@ -8,6 +8,7 @@
 package translator
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -16,6 +17,9 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
+// strainUnits is the resolution of a strain on the wire.
+const strainUnits = 100
+
 // CallHead returns the wire form of a call. The deadline travels as remaining
 // time, so that the clocks of two nodes need not agree.
 func CallHead(call *caller.Call, now time.Time) *encoder.CallHead {
@@ -85,6 +89,7 @@
 			Queued:    uint32(answer.Load.Queued),
 			Threshold: uint32(answer.Load.Threshold),
 			Leaving:   answer.Load.Leaving,
+			Strain:    uint32(math.Round(strainUnits * answer.Load.Strain)),
 		},
 		PathThreshold:   uint32(answer.PathThreshold),
 		Successor:       answer.Successor,
@@ -109,6 +114,7 @@
 			Queued:    int(load.GetQueued()),
 			Threshold: caller.Priority(load.GetThreshold()),
 			Leaving:   load.GetLeaving(),
+			Strain:    min(float64(load.GetStrain())/strainUnits, 1),
 		},
 		PathThreshold: caller.Priority(head.GetPathThreshold()),
 		Successor:     head.GetSuccessor(),
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/laburnumshelf/laburnumshelf/internal/request/attributor"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/deduplicator"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/forecaster"
@@ -93,6 +94,7 @@
 	forecast *forecaster.Table
 	ledger   *retrier.Ledger
 	throttle *throttler.Throttler
+	failures *attributor.Table
 
 	// mu guards the router and the budgets and is never held during I/O.
 	mu      sync.Mutex
@@ -110,6 +112,7 @@
 		forecast: forecaster.NewTable(),
 		ledger:   retrier.NewLedger(),
 		throttle: throttler.New(config.Rand),
+		failures: attributor.NewTable(),
 		classes:  make(map[string]bool),
 		router: router.New(router.Config{
 			Zone:     config.Zone,
@@ -177,7 +180,7 @@
 		a.parent.ChildStarted(time.Now())
 	}
 	answer := a.run(ctx)
-	d.learn(ctx, call, answer)
+	a.learn(ctx, answer)
 	a.finish(answer)
 	return answer
 }
--- a/internal/request/dispatcher/throttle.go
+++ b/internal/request/dispatcher/throttle.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/laburnumshelf/laburnumshelf/internal/request/attributor"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/throttler"
@@ -17,6 +18,10 @@
 // than an early one.
 const patienceShare = 0.25
 
+// maxLoadAge is the age up to which a report explains a call without an answer:
+// such a call ends by its timeout, mostly under a second.
+const maxLoadAge = time.Second
+
 // Urgent requests are let in until a third of them fail: what they leave room
 // for by failing is worth less.
 var (
@@ -73,20 +78,48 @@
 	return inner
 }
 
-// learn takes what an answer tells of its route. A caller that gave up says
-// nothing about the load.
-func (d *Dispatcher) learn(ctx context.Context, call *caller.Call, answer *caller.Answer) {
+// learn takes what the answer to a call tells of its route, and of what the calls
+// of this node's backend server fail of. A client that gave up says nothing about
+// the load; a backend server that did may have waited for too long.
+func (a *attempts) learn(ctx context.Context, answer *caller.Answer) {
+	d := a.d
 	if !d.config.Throttle {
 		return
 	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if answer.Outcome == caller.Answered {
-		d.classes[call.Route] = answer.Inner
+		d.classes[a.call.Route] = answer.Inner
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return
+	strain := 0.0
+	failed := answer.Outcome != caller.Answered || answer.Status >= 500
+	if failed {
+		strain = attributor.Strain(answer, a.load(now, answer))
+	}
+	if failed && d.classes[a.call.Route] {
+		d.failures.Failed(now, strain)
+	}
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		d.throttle.Ended(now, a.call.Route, strain)
+	}
+}
+
+// load returns what the target of the last attempt reports, with the answer or,
+// where there is none, lately; a.d.mu is held.
+func (a *attempts) load(now time.Time, answer *caller.Answer) caller.Load {
+	if answer.Load.Limit > 0 || a.member == nil {
+		return answer.Load
+	}
+	target := a.d.router.Target(a.member.GetId())
+	if target == nil || target.LoadAge(now) > maxLoadAge {
+		return caller.Load{}
 	}
-	served := answer.Outcome == caller.Answered && answer.Status < 500
-	d.throttle.Ended(time.Now(), call.Route, served)
+	return target.Load()
+}
+
+// Strain returns the part of what the calls of this node's backend server fail of
+// that is a lack of capacity.
+func (d *Dispatcher) Strain(now time.Time) float64 {
+	return d.failures.Strain(now)
 }
--- /dev/null
+++ b/internal/request/dispatcher/throttle_test.go
@@ -0,0 +1,128 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+var shop = describer.ServiceName{
+	Team: "trade",
+	Name: "shop",
+}
+
+// transport answers each attempt as the test says.
+type transport func(target string, call *caller.Call) (*caller.Answer, error)
+
+func (f transport) Call(_ context.Context, member *encoder.Member, call *caller.Call) (*caller.Answer, error) {
+	return f(member.GetId(), call)
+}
+
+// newThrottled returns a dispatcher that throttles and knows two targets.
+func newThrottled(t *testing.T, answer transport) *Dispatcher {
+	t.Helper()
+	settings := &describer.Settings{}
+	d := New(Config{
+		NodeID:    "n-0",
+		Transport: answer,
+		Recorder:  recorder.New(nil, "n-0", 16),
+		Inbound:   tracker.NewTable(),
+		OwnTokens: true,
+		Throttle:  true,
+		Settings: func() *describer.Settings {
+			return settings
+		},
+		Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	for _, id := range []string{"n-1", "n-2"} {
+		d.Update(&encoder.Member{
+			Id:          id,
+			Incarnation: 1,
+			Team:        shop.Team,
+			Service:     shop.Name,
+			Slots:       10,
+		})
+	}
+	return d
+}
+
+// request returns a client's request.
+func request(route string) *caller.Call {
+	return &caller.Call{
+		RequestID:  "r",
+		CallID:     "c",
+		Service:    shop,
+		Route:      route,
+		Method:     "GET",
+		Idempotent: true,
+		Deadline:   time.Now().Add(time.Second),
+		Objective:  time.Second,
+		MaxTargets: 2,
+	}
+}
+
+// answered returns the answer of a backend server with free slots.
+func answered(status int, strain float64) *caller.Answer {
+	return &caller.Answer{
+		Outcome: caller.Answered,
+		Status:  status,
+		Body:    io.NopCloser(strings.NewReader("x")),
+		Load: caller.Load{
+			InFlight: 1,
+			Limit:    10,
+			Strain:   strain,
+		},
+	}
+}
+
+// refusedShare sends 50 requests a second for 10 s and returns the share that
+// was refused at the entry.
+func refusedShare(d *Dispatcher) float64 {
+	refused := 0
+	const sent = 500
+	for range sent {
+		time.Sleep(20 * time.Millisecond)
+		answer := d.Dispatch(context.Background(), request("r-1"))
+		if answer.Reason == caller.ReasonThrottled {
+			refused++
+		}
+		answer.Close()
+	}
+	return float64(refused) / sent
+}
+
+func TestOnlyLackOfCapacityThrottles(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		strain   float64
+		least    float64
+		greatest float64
+	}{
+		{"answers lost below", 0, 0, 0},
+		{"no capacity below", 1, 0.5, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			sent := 0
+			d := newThrottled(t, func(string, *caller.Call) (*caller.Answer, error) {
+				sent++
+				if sent%3 > 0 {
+					return answered(500, test.strain), nil
+				}
+				return answered(200, test.strain), nil
+			})
+			if got := refusedShare(d); got < test.least || got > test.greatest {
+				t.Errorf("%s, two of three requests fail: got %.2f refused, want %.2f to %.2f", test.name, got, test.least, test.greatest)
+			}
+		})
+	}
+}
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -48,7 +48,9 @@
 	Settings  func() *describer.Settings
 	// Successor mints a token for another target of the service, or nil.
 	Successor func() *encoder.Token
-	Switches  admitter.Switches
+	// Strain returns what the backend server's calls fail of; nil for 0.
+	Strain   func(now time.Time) float64
+	Switches admitter.Switches
 }
 
 // Executor runs inbound calls. Its methods are safe for concurrent use.
@@ -117,6 +119,9 @@
 	defer e.mu.Unlock()
 	load := e.admitter.Load()
 	load.Leaving = e.leaving
+	if e.config.Strain != nil {
+		load.Strain = e.config.Strain(time.Now())
+	}
 	return load
 }
 
--- a/internal/request/throttler/throttler.go
+++ b/internal/request/throttler/throttler.go
@@ -1,5 +1,5 @@
 // Package throttler refuses requests at their entry when many of their kind
-// would fail further down, before any work is done for them.
+// would fail further down for lack of capacity, before any work is done for them.
 //
 // The entry need not know where the bottleneck is or what a request costs there.
 // It lets a share of each route's requests in, lowers the share when those let in
@@ -10,7 +10,7 @@
 //
 //	t := throttler.New(rng)
 //	if !t.Admit(now, "r-7", policy) { refuse }
-//	t.Ended(now, "r-7", served)
+//	t.Ended(now, "r-7", failed)
 package throttler
 
 import (
@@ -63,7 +63,7 @@
 	share   float64
 	started time.Time
 	ended   int
-	failed  int
+	failed  float64
 	// settling tells that the share was lowered in the last window, so that
 	// what ends now was let in before.
 	settling bool
@@ -86,13 +86,13 @@
 	return r.share >= 1 || t.rng.Float64() < r.share
 }
 
-// Ended takes the outcome of a request that was let in.
-func (t *Throttler) Ended(now time.Time, name string, served bool) {
+// Ended takes the outcome of a request that was let in: the part of it, from 0 to
+// 1, that failed for lack of capacity. Failures of other causes would not end if
+// fewer requests were let in.
+func (t *Throttler) Ended(now time.Time, name string, failed float64) {
 	r := t.route(now, name)
 	r.ended++
-	if !served {
-		r.failed++
-	}
+	r.failed += failed
 }
 
 func (t *Throttler) route(now time.Time, name string) *route {
@@ -115,7 +115,7 @@
 	}
 	failures := 0.0
 	if r.ended > 0 {
-		failures = float64(r.failed) / float64(r.ended)
+		failures = r.failed / float64(r.ended)
 	}
 	switch {
 	case failures > policy.Many && r.failed >= minFailures:
--- a/internal/request/throttler/throttler_test.go
+++ b/internal/request/throttler/throttler_test.go
@@ -30,10 +30,12 @@
 			room--
 		}
 		ok = ok && t.rng.Float64() >= natural
+		failed := 1.0
 		if ok {
 			served++
+			failed = 0
 		}
-		t.Ended(*now, "r", ok)
+		t.Ended(*now, "r", failed)
 	}
 	return let / sent, served / sent
 }
