Send the labels of a call once, and shorten call IDs

Each carried its request ID and deadline twice, a UUID, and the answer's proof with the name of its header.

--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -179,6 +179,7 @@
 		return answer, nil
 	}
 	labeler.RemoveHopByHop(answer.Header)
+	f.takeLabels(answer)
 	if err := f.readAhead(answer, resp); err != nil {
 		return nil, errors.Wrap(err, "read answer of backend server")
 	}
@@ -188,6 +189,17 @@
 	return answer, nil
 }
 
+// takeLabels takes the labels that the caller's node writes again out of the
+// answer's headers.
+func (f *Forwarder) takeLabels(answer *caller.Answer) {
+	dialect := f.config.Dialect
+	answer.Header.Del(dialect.RequestID)
+	if dialect.Proof != "" {
+		answer.Proof = answer.Header.Get(dialect.Proof)
+		answer.Header.Del(dialect.Proof)
+	}
+}
+
 // readAhead reads a small answer whole.
 func (f *Forwarder) readAhead(answer *caller.Answer, resp *http.Response) error {
 	if f.config.ReadAhead == 0 || resp.ContentLength > f.config.ReadAhead {
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -15,7 +15,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/gateway"
@@ -71,6 +70,11 @@
 	answer := r.config.Calls.Dispatch(req.Context(), call)
 	defer answer.Close()
 	if answer.Outcome == caller.Answered {
+		h := c.Response().Header()
+		h.Set(r.config.Dialect.RequestID, call.RequestID)
+		if answer.Proof != "" {
+			h.Set(r.config.Dialect.Proof, answer.Proof)
+		}
 		return gateway.Pass(c, answer)
 	}
 	return r.refuse(c, answer)
@@ -83,7 +87,7 @@
 	id := req.Header.Get(r.config.Dialect.RequestID)
 	call := &caller.Call{
 		RequestID:     id,
-		CallID:        uuid.NewString(),
+		CallID:        caller.NewID(),
 		Method:        req.Method,
 		Path:          req.RequestURI,
 		CallerService: r.config.Service.Name,
@@ -138,6 +142,9 @@
 	call.Priority = caller.NewPriority(route.Criticality(), call.RequestID, now)
 	call.Header = labeler.Forwarded(req)
 	r.config.Dialect.Strip(call.Header)
+	// The call itself holds them, and the target's node writes them again.
+	call.Header.Del(r.config.Dialect.RequestID)
+	call.Header.Del(r.config.Dialect.Timeout)
 	return nil
 }
 
--- a/internal/connection/receiver/receiver_test.go
+++ b/internal/connection/receiver/receiver_test.go
@@ -49,6 +49,7 @@
 		Calls: c,
 		Dialect: labeler.Dialect{
 			RequestID:     "Id",
+			Proof:         "Proof",
 			Timeout:       "Timeout",
 			Instance:      "Instance",
 			CallerService: "Caller",
@@ -212,3 +213,36 @@
 		t.Errorf("got a share of %.3f, want 0.1", got)
 	}
 }
+
+func TestLabelsTravelOnceAndComeBack(t *testing.T) {
+	c := &calls{
+		answer: func() *caller.Answer {
+			return &caller.Answer{
+				Outcome: caller.Answered,
+				Status:  http.StatusOK,
+				Header:  http.Header{"Other": {"kept"}},
+				Proof:   "signed",
+				Body:    io.NopCloser(strings.NewReader("body")),
+			}
+		},
+	}
+	req := httptest.NewRequest(http.MethodGet, "http://h.example/a/x", nil)
+	req.Header.Set("Id", "r-1")
+	req.Header.Set("Timeout", "500ms")
+	req.Header.Set("Own", "1")
+	recorder := httptest.NewRecorder()
+	handler(c, settings).ServeHTTP(recorder, req)
+	for _, name := range []string{"Id", "Timeout"} {
+		if got := c.last.Header.Get(name); got != "" {
+			t.Errorf("header %s of the call: got %q, want none", name, got)
+		}
+	}
+	if got := c.last.Header.Get("Own"); got != "1" {
+		t.Errorf("header Own of the call: got %q, want 1", got)
+	}
+	for name, want := range map[string]string{"Id": "r-1", "Proof": "signed", "Other": "kept"} {
+		if got := recorder.Header().Get(name); got != want {
+			t.Errorf("header %s of the answer: got %q, want %q", name, got, want)
+		}
+	}
+}
--- a/internal/connection/translator/translator.go
+++ b/internal/connection/translator/translator.go
@@ -97,6 +97,7 @@
 		Detail:          answer.Detail,
 		Arrived:         answer.Arrived,
 		Inner:           answer.Inner,
+		Proof:           answer.Proof,
 	}
 }
 
@@ -122,6 +123,7 @@
 		Detail:        head.GetDetail(),
 		Arrived:       head.GetArrived(),
 		Inner:         head.GetInner(),
+		Proof:         head.GetProof(),
 	}
 }
 
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -240,6 +240,9 @@
 	Arrived bool
 	// Inner tells that the call's route is called by backend servers.
 	Inner bool
+	// Proof is the value by which the backend server shows that the answer is its
+	// own; the dialect names its header.
+	Proof string
 	// Body is nil for refusals. Reading it to io.EOF proves that it is whole.
 	Body io.ReadCloser
 	// Unspent returns the allowance left over; it is valid after the body.
--- a/internal/request/initiator/initiator.go
+++ b/internal/request/initiator/initiator.go
@@ -42,7 +42,7 @@
 	route := settings.Service(request.Service).Match(request.Method, request.Path)
 	call := &caller.Call{
 		RequestID:  request.RequestID,
-		CallID:     uuid.NewString(),
+		CallID:     caller.NewID(),
 		ParentID:   request.ParentID,
 		Service:    request.Service,
 		Route:      route.Name,
