--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -231,11 +231,8 @@
 	d.mu.Unlock()
 	answer, err := d.config.Transport.Call(ctx, member, call)
 	now := time.Now()
-	observation := router.Observation{
-		Route: call.Route,
-	}
+	observation := router.Observation{}
 	if err != nil {
-		observation.Latency = now.Sub(started)
 		// A caller that gave up says nothing about the target.
 		observation.Failed = !errors.Is(ctx.Err(), context.Canceled)
 	} else {
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -29,13 +29,19 @@
 	regionGain = 1.0
 	// loadAge is the time for which a reported load counts.
 	loadAge = time.Second
-	// slowPenalty is the utilization that a slow or silent target counts more: the
-	// others fill their slots before it gets calls, but queue none.
-	slowPenalty = 1
+	// latencyWeight is the weight of a new latency in the moving average.
+	latencyWeight = 0.1
+	// slowFactor marks a target as slow against the others of its service.
+	slowFactor = 3
+	// slowMargin is the least difference that marks a target as slow.
+	slowMargin = 20 * time.Millisecond
 	// stallFactor and stallMargin bound the silence of a target that has
 	// unanswered attempts.
 	stallFactor = 3
 	stallMargin = 300 * time.Millisecond
+	// latencyAge is the time after which an unused latency no longer counts.
+	latencyAge = 5 * time.Second
+	minSamples = 10
 	// ejectFailures is the number of failures in a row that eject a target.
 	ejectFailures = 3
 	ejectBase     = time.Second
@@ -88,8 +94,6 @@
 // group is the targets of one service.
 type group struct {
 	targets []*Target
-	// usual is the usual time of each route.
-	usual map[string]*usual
 	// scratch holds the candidates of one choice.
 	scratch []*Target
 }
@@ -161,9 +165,7 @@
 	name := ServiceOf(member)
 	g := r.services[name]
 	if g == nil {
-		g = &group{
-			usual: make(map[string]*usual),
-		}
+		g = &group{}
 		r.services[name] = g
 	}
 	g.targets = append(g.targets, target)
@@ -244,7 +246,7 @@
 	if r.config.Switches.Random {
 		return g.scratch[r.rng.IntN(len(g.scratch))], caller.ReasonNearest
 	}
-	median := r.medianPace(now, g)
+	median := r.medianLatency(now, g)
 	var best *Target
 	bestScore := 0.0
 	reason := caller.ReasonNearest
@@ -301,7 +303,7 @@
 }
 
 // better returns the better of two random candidates of a tier.
-func (r *Router) better(now time.Time, candidates []*Target, level tier, median float64) (*Target, float64) {
+func (r *Router) better(now time.Time, candidates []*Target, level tier, median time.Duration) (*Target, float64) {
 	var first, second *Target
 	count := 0
 	for _, target := range candidates {
--- a/internal/request/router/target.go
+++ b/internal/request/router/target.go
@@ -14,19 +14,16 @@
 	inFlight int
 	// busySince is when the target last answered or got its first unanswered
 	// attempt.
-	busySince time.Time
-	// pace is how long the target's answers take against the usual time of their
-	// routes, and latency the time that this amounts to now.
-	pace      float64
-	latency   time.Duration
-	paceTime  time.Time
-	samples   int
-	load      caller.Load
-	loadTime  time.Time
-	failures  int
-	ejections int
-	ejectedTo time.Time
-	since     time.Time
+	busySince   time.Time
+	latency     time.Duration
+	latencyTime time.Time
+	samples     int
+	load        caller.Load
+	loadTime    time.Time
+	failures    int
+	ejections   int
+	ejectedTo   time.Time
+	since       time.Time
 }
 
 // InFlight returns the attempts of this node that the target has not answered.
@@ -60,9 +57,6 @@
 
 // Observation is what one attempt showed.
 type Observation struct {
-	// Route is that of the call; attempts on one route are alike.
-	Route string
-	// Latency is the time until the answer, or until an attempt without one ended.
 	Latency time.Duration
 	// Load is nil when the target did not answer.
 	Load *caller.Load
@@ -86,9 +80,6 @@
 		target.load = *seen.Load
 		target.loadTime = now
 	}
-	if g := r.services[ServiceOf(target.Member)]; g != nil && seen.Latency > 0 {
-		target.observe(now, g.usualOf(seen.Route), seen)
-	}
 	if seen.Failed {
 		r.failed(now, target)
 		return
@@ -100,6 +91,19 @@
 	if !target.Ejected(now) {
 		target.ejections = 0
 	}
+	if seen.Latency > 0 {
+		target.observe(now, seen.Latency)
+	}
+}
+
+func (t *Target) observe(now time.Time, latency time.Duration) {
+	if t.samples == 0 || now.Sub(t.latencyTime) > latencyAge {
+		t.latency = latency
+		t.samples = 0
+	}
+	t.latency += time.Duration(latencyWeight * float64(latency-t.latency))
+	t.latencyTime = now
+	t.samples++
 }
 
 func (r *Router) failed(now time.Time, target *Target) {
