Repeat lost calls to backend servers that make no calls

Change: a call of a backend server to one that makes no calls itself is given up after five usual times of its route and sent to another, also after a broken answer; any repeatable call is, after a rejection by the backend server. A node knows whether its backend server makes calls by counting, and says so with its answers.

Ruled out: repeating what makes calls; its repeats count again at each service below.

--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -15,6 +15,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/process/enroller"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/registrar"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/executor"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/watcher"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
@@ -134,6 +135,15 @@
 	})
 }
 
+// below returns what is known of the calls of the backend server. On the users'
+// platform they do not name the call that they are made for.
+func (n *Node) below() executor.Below {
+	if n.config.Platform == nil {
+		return nil
+	}
+	return n.dispatcher
+}
+
 // hasReader reports whether another node of the zone waits briefly for changes
 // of the operator's settings; its version is heard of by gossip.
 func (n *Node) hasReader() bool {
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -160,7 +160,7 @@
 		Successor: func() *encoder.Token {
 			return n.dispatcher.MintFor(config.Service, config.ID)
 		},
-		Strain: n.dispatcher.Strain,
+		Below: n.below(),
 	})
 	n.acceptor = acceptor.New(acceptor.Config{
 		Calls:    n.executor,
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -32,9 +32,14 @@
 	mayRun  bool
 	resolve int
 	path    caller.Priority
-	// member and loadAge are those of the target chosen last.
+	// arrived is the attempts that may have reached a backend server and were
+	// followed by another.
+	arrived int
+	// member and loadAge are those of the target chosen last, and wait how long to
+	// wait for its answer, or 0.
 	member  *encoder.Member
 	loadAge time.Duration
+	wait    time.Duration
 }
 
 // prepare refuses what must not be attempted and takes the allowance.
@@ -146,6 +151,9 @@
 		return refusal
 	}
 	a.d.budget(a.call.Service).Attempted()
+	if a.call.MaxTargets > 0 {
+		a.d.share(a.call).Attempted(time.Now())
+	}
 	for {
 		answer := a.attempt(ctx)
 		a.path = max(a.path, answer.PathThreshold, answer.Load.Threshold)
@@ -192,7 +200,7 @@
 	id := a.member.GetId()
 	a.tried = append(a.tried, id)
 	a.d.record(&call, action, reason, caller.Answered, id, 0)
-	answer, err := a.d.send(ctx, target, a.member, &call)
+	ctx, answer, err := a.sendPatiently(ctx, target, &call)
 	a.made++
 	if err != nil {
 		return a.failed(ctx, &call, id, err)
@@ -244,7 +252,7 @@
 		}
 	case errors.Is(err, caller.ErrBadBody):
 		answer.Reason = caller.ReasonBodyBroken
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(context.Cause(ctx), errLost):
 		answer.Reason = caller.ReasonTimeout
 	case ctx.Err() != nil:
 		answer.Reason = caller.ReasonCanceled
@@ -260,7 +268,9 @@
 	target, reason := a.choose()
 	if target != nil {
 		a.member = target.Member
-		a.loadAge = target.LoadAge(time.Now())
+		now := time.Now()
+		a.loadAge = target.LoadAge(now)
+		a.wait = a.patience(now, target)
 	}
 	return target, reason
 }
@@ -335,7 +345,11 @@
 		return false
 	}
 	if a.call.MaxTargets > 0 && (answer.Arrived || answer.Outcome != caller.NotRun) {
-		return false
+		if !a.repeats(answer) {
+			return false
+		}
+		a.arrived++
+		return true
 	}
 	switch answer.Outcome {
 	case caller.NotRun:
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/retrier"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/surveyor"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/throttler"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
@@ -95,11 +96,13 @@
 	ledger   *retrier.Ledger
 	throttle *throttler.Throttler
 	failures *attributor.Table
+	survey   *surveyor.Survey
 
 	// mu guards the router and the budgets and is never held during I/O.
 	mu      sync.Mutex
 	router  *router.Router
 	budgets map[describer.ServiceName]*retrier.Budget
+	shares  map[describer.ServiceName]*retrier.Share
 	limits  map[string]*byteLimiter
 	// classes tells the routes that backend servers call, as answers tell it.
 	classes map[string]bool
@@ -113,6 +116,7 @@
 		ledger:   retrier.NewLedger(),
 		throttle: throttler.New(config.Rand),
 		failures: attributor.NewTable(),
+		survey:   surveyor.New(),
 		classes:  make(map[string]bool),
 		router: router.New(router.Config{
 			Zone:     config.Zone,
@@ -121,6 +125,7 @@
 			Switches: config.RouterSwitches,
 		}, config.Rand),
 		budgets: make(map[describer.ServiceName]*retrier.Budget),
+		shares:  make(map[describer.ServiceName]*retrier.Share),
 		limits:  make(map[string]*byteLimiter),
 	}
 }
@@ -231,10 +236,12 @@
 	d.mu.Unlock()
 	answer, err := d.config.Transport.Call(ctx, member, call)
 	now := time.Now()
-	observation := router.Observation{}
+	observation := router.Observation{
+		Route: call.Route,
+	}
 	if err != nil {
 		// A caller that gave up says nothing about the target.
-		observation.Failed = !errors.Is(ctx.Err(), context.Canceled)
+		observation.Failed = !errors.Is(ctx.Err(), context.Canceled) || errors.Is(context.Cause(ctx), errLost)
 	} else {
 		observation.Load = &answer.Load
 		observation.Failed = answer.Reason == caller.ReasonBackendUnreachable || answer.Reason == caller.ReasonBackendFailed
--- a/internal/request/dispatcher/throttle.go
+++ b/internal/request/dispatcher/throttle.go
@@ -92,6 +92,9 @@
 	if answer.Outcome == caller.Answered {
 		d.classes[a.call.Route] = answer.Inner
 	}
+	if inner, known := d.classes[a.call.Route]; inner || !known {
+		d.survey.Called(now)
+	}
 	strain := 0.0
 	failed := answer.Outcome != caller.Answered || answer.Status >= 500
 	if failed {
@@ -118,6 +121,16 @@
 	return target.Load()
 }
 
+// Ran counts a run of this node's backend server.
+func (d *Dispatcher) Ran(now time.Time) {
+	d.survey.Ran(now)
+}
+
+// Leaf reports whether this node's backend server is known to make no calls.
+func (d *Dispatcher) Leaf(now time.Time) bool {
+	return d.survey.Leaf(now)
+}
+
 // Strain returns the part of what the calls of this node's backend server fail of
 // that is a lack of capacity.
 func (d *Dispatcher) Strain(now time.Time) float64 {
--- a/internal/request/dispatcher/throttle_test.go
+++ b/internal/request/dispatcher/throttle_test.go
@@ -22,10 +22,10 @@
 }
 
 // transport answers each attempt as the test says.
-type transport func(target string, call *caller.Call) (*caller.Answer, error)
+type transport func(ctx context.Context, target string, call *caller.Call) (*caller.Answer, error)
 
-func (f transport) Call(_ context.Context, member *encoder.Member, call *caller.Call) (*caller.Answer, error) {
-	return f(member.GetId(), call)
+func (f transport) Call(ctx context.Context, member *encoder.Member, call *caller.Call) (*caller.Answer, error) {
+	return f(ctx, member.GetId(), call)
 }
 
 // newThrottled returns a dispatcher that throttles and knows two targets.
@@ -113,7 +113,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			sent := 0
-			d := newThrottled(t, func(string, *caller.Call) (*caller.Answer, error) {
+			d := newThrottled(t, func(context.Context, string, *caller.Call) (*caller.Answer, error) {
 				sent++
 				if sent%3 > 0 {
 					return answered(500, test.strain), nil
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -48,11 +48,23 @@
 	Settings  func() *describer.Settings
 	// Successor mints a token for another target of the service, or nil.
 	Successor func() *encoder.Token
-	// Strain returns what the backend server's calls fail of; nil for 0.
-	Strain   func(now time.Time) float64
+	// Below knows the calls that the backend server makes; nil where they name the
+	// call that they are made for.
+	Below    Below
 	Switches admitter.Switches
 }
 
+// Below is what is known of the calls that the backend server makes, where they do
+// not name the call that they are made for.
+type Below interface {
+	// Ran counts a run.
+	Ran(now time.Time)
+	// Strain is the part of what they fail of that is a lack of capacity.
+	Strain(now time.Time) float64
+	// Leaf tells that the backend server is known to make none.
+	Leaf(now time.Time) bool
+}
+
 // Executor runs inbound calls. Its methods are safe for concurrent use.
 type Executor struct {
 	config Config
@@ -119,8 +131,10 @@
 	defer e.mu.Unlock()
 	load := e.admitter.Load()
 	load.Leaving = e.leaving
-	if e.config.Strain != nil {
-		load.Strain = e.config.Strain(time.Now())
+	if below := e.config.Below; below != nil {
+		now := time.Now()
+		load.Strain = below.Strain(now)
+		load.Leaf = below.Leaf(now)
 	}
 	return load
 }
@@ -225,6 +239,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	inbound := e.config.Inbound.Add(call)
+	if e.config.Below != nil {
+		e.config.Below.Ran(time.Now())
+	}
 	answer, err := e.config.Backend.Do(ctx, call)
 	release := func(failed bool) {
 		e.release(call, inbound, ticket, failed)
--- /dev/null
+++ b/internal/request/retrier/share.go
@@ -0,0 +1,57 @@
+package retrier
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// shareHalfLife is the time after which what first attempts earned counts half.
+// Whatever the load, the repeats of any 10 s stay under 1.3 times the share of the
+// first attempts of that time and the 10 s before.
+const shareHalfLife = 2 * time.Second
+
+// Share bounds repeats to a share of the recent first attempts of the same node.
+// The shares of all nodes add up to that of all first attempts, however many nodes
+// there are and whether they reach each other. Its methods are safe for concurrent
+// use.
+type Share struct {
+	mu      sync.Mutex
+	ratio   float64
+	updated time.Time
+	balance float64
+}
+
+// NewShare returns a Share that has earned nothing yet.
+func NewShare(ratio float64) *Share {
+	return &Share{
+		ratio: ratio,
+	}
+}
+
+// Attempted earns for one first attempt.
+func (s *Share) Attempted(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	s.balance += s.ratio
+}
+
+// Withdraw takes one repeat and reports whether it was earned.
+func (s *Share) Withdraw(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	if s.balance < 1 {
+		return false
+	}
+	s.balance--
+	return true
+}
+
+func (s *Share) decay(now time.Time) {
+	if elapsed := now.Sub(s.updated); elapsed > 0 {
+		s.balance *= math.Exp2(-float64(elapsed) / float64(shareHalfLife))
+	}
+	s.updated = now
+}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -94,6 +94,8 @@
 // group is the targets of one service.
 type group struct {
 	targets []*Target
+	// usual is the usual time of each route.
+	usual map[string]*usual
 	// scratch holds the candidates of one choice.
 	scratch []*Target
 }
@@ -165,7 +167,9 @@
 	name := ServiceOf(member)
 	g := r.services[name]
 	if g == nil {
-		g = &group{}
+		g = &group{
+			usual: make(map[string]*usual),
+		}
 		r.services[name] = g
 	}
 	g.targets = append(g.targets, target)
--- a/internal/request/router/target.go
+++ b/internal/request/router/target.go
@@ -57,6 +57,8 @@
 
 // Observation is what one attempt showed.
 type Observation struct {
+	Route string
+	// Latency is the time until the answer.
 	Latency time.Duration
 	// Load is nil when the target did not answer.
 	Load *caller.Load
@@ -93,6 +95,7 @@
 	}
 	if seen.Latency > 0 {
 		target.observe(now, seen.Latency)
+		r.services[ServiceOf(target.Member)].observe(seen.Route, seen.Latency)
 	}
 }
 
--- /dev/null
+++ b/internal/request/surveyor/surveyor.go
@@ -0,0 +1,76 @@
+// Package surveyor tells whether the local backend server makes calls of its own.
+// A call to one that makes none may be repeated without repeating anything below.
+//
+// # Usage
+//
+//	survey := surveyor.New()
+//	survey.Ran(now)
+//	survey.Called(now)
+//	leaf := survey.Leaf(now)
+package surveyor
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Survey parameters.
+const (
+	// halfLife is the time after which a run or call counts half: long enough for a
+	// judgment at a few runs a second, short enough to follow a new version.
+	halfLife = 10 * time.Second
+	// minRuns is the weight of the runs that a judgment needs.
+	minRuns = 100
+	// maxCallShare is the calls for each run up to which a backend server counts as
+	// one that makes none: clients' requests whose route is not known yet may be
+	// taken for its calls.
+	maxCallShare = 0.1
+)
+
+// Survey counts the runs of the local backend server and the calls that it makes.
+// Its methods are safe for concurrent use.
+type Survey struct {
+	mu      sync.Mutex
+	updated time.Time
+	runs    float64
+	calls   float64
+}
+
+// New returns a Survey that has seen nothing.
+func New() *Survey {
+	return &Survey{}
+}
+
+// Ran counts a run.
+func (s *Survey) Ran(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	s.runs++
+}
+
+// Called counts a call that the backend server made, or may have made.
+func (s *Survey) Called(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	s.calls++
+}
+
+// Leaf reports whether the backend server is known to make no calls.
+func (s *Survey) Leaf(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	return s.runs >= minRuns && s.calls <= maxCallShare*s.runs
+}
+
+func (s *Survey) decay(now time.Time) {
+	if elapsed := now.Sub(s.updated); elapsed > 0 {
+		weight := math.Exp2(-float64(elapsed) / float64(halfLife))
+		s.runs *= weight
+		s.calls *= weight
+	}
+	s.updated = now
+}
