Tell the calls of backend servers where two services make them, and why runs fail

Cause: a route counted as called by backend servers only if nine tenths of its calls began at one service.

Change: a route is also inner if at most half of the services, and three, make 95% of its calls. The reason of a failed run is taken before its release.

--- a/internal/request/classifier/classifier.go
+++ b/internal/request/classifier/classifier.go
@@ -3,7 +3,8 @@
 //
 // Clients are spread over the machines of all services, and a backend server's
 // calls come from the machines of its own service only. A route nearly all of
-// whose calls began at the nodes of one service is called by that service.
+// whose calls began at the nodes of one service, or of a few out of many, is called
+// by these services.
 //
 // # Usage
 //
@@ -21,6 +22,10 @@
 	minCalls = 20
 	// innerShare is the share of the calls from one service that marks a route.
 	innerShare = 0.9
+	// jointShare is the share of the calls from a few services that marks a route;
+	// maxCallers is how many these may be, and at most half of all services.
+	jointShare = 0.95
+	maxCallers = 3
 	// maxCalls is where counts are halved, so that the judgment follows changes.
 	maxCalls  = 400
 	maxRoutes = 10_000
@@ -31,6 +36,8 @@
 type Table struct {
 	mu     sync.Mutex
 	routes map[string]*route
+	// callers is the services at whose nodes calls began.
+	callers map[string]bool
 }
 
 // route is the calls of one route by the service at whose node they began.
@@ -42,7 +49,8 @@
 // NewTable returns a table that knows no routes.
 func NewTable() *Table {
 	return &Table{
-		routes: make(map[string]*route),
+		routes:  make(map[string]*route),
+		callers: make(map[string]bool),
 	}
 }
 
@@ -61,12 +69,15 @@
 		}
 		t.routes[name] = r
 	}
+	if len(t.callers) < maxRoutes {
+		t.callers[service] = true
+	}
 	r.total++
 	r.services[service]++
 	if r.total >= maxCalls {
 		r.halve()
 	}
-	return r.inner()
+	return r.inner(len(t.callers))
 }
 
 // Inner reports whether a route is called by backend servers.
@@ -74,19 +85,30 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.routes[name]
-	return r != nil && r.inner()
+	return r != nil && r.inner(len(t.callers))
 }
 
-func (r *route) inner() bool {
+// inner judges the route, where calls begin at the nodes of so many services.
+func (r *route) inner(services int) bool {
 	if r.total < minCalls {
 		return false
 	}
+	var most [maxCallers]int
 	for _, count := range r.services {
-		if float64(count) >= innerShare*float64(r.total) {
-			return true
+		for i := range most {
+			if count > most[i] {
+				count, most[i] = most[i], count
+			}
 		}
 	}
-	return false
+	if float64(most[0]) >= innerShare*float64(r.total) {
+		return true
+	}
+	joint := 0
+	for _, count := range most[:min(maxCallers, services/2)] {
+		joint += count
+	}
+	return float64(joint) >= jointShare*float64(r.total)
 }
 
 func (r *route) halve() {
--- a/internal/request/classifier/classifier_test.go
+++ b/internal/request/classifier/classifier_test.go
@@ -26,6 +26,41 @@
 	}
 }
 
+func TestRoutesCalledByTwoServicesAreInner(t *testing.T) {
+	// An operator's weights send a part of the parents to another service, whose
+	// backend servers then make the same calls.
+	table := NewTable()
+	for i := range 1000 {
+		table.Observe("client", []string{"allot", "desk", "cartographer", "waterpoint"}[i%4])
+		table.Observe("called", []string{"desk", "allot", "desk"}[i%3])
+	}
+	if !table.Inner("called") {
+		t.Error("called by two of four services: got not inner")
+	}
+	if table.Inner("client") {
+		t.Error("client: got inner")
+	}
+}
+
+func TestClientsOfTwoServicesAreNotInner(t *testing.T) {
+	table := NewTable()
+	for i := range 1000 {
+		table.Observe("client", []string{"allot", "desk"}[i%2])
+	}
+	if table.Inner("client") {
+		t.Error("client at both services that there are: got inner")
+	}
+}
+
+func TestClientsAmongManyServicesAreNotInner(t *testing.T) {
+	table := NewTable()
+	for i := range 60 {
+		if table.Observe("client", fmt.Sprint("s", i*7%220)) {
+			t.Fatalf("after %d calls from as many services: got inner", i+1)
+		}
+	}
+}
+
 func TestFewCallsJudgeNothing(t *testing.T) {
 	table := NewTable()
 	for range minCalls - 1 {
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -248,8 +248,9 @@
 		cancel()
 	}
 	if err != nil {
+		reason := failure(ctx, err)
 		release(overloadError(ctx, err))
-		return e.backendError(ctx, call, entry, err)
+		return e.backendError(call, entry, reason, err)
 	}
 	if answer.Outcome == caller.NotRun {
 		release(answer.Reason.Overload())
@@ -301,21 +302,29 @@
 	e.expected[route] = known + (total-known)/riseShare
 }
 
+// failure returns why a run failed; ctx is that of the run, not yet ended by it.
+func failure(ctx context.Context, err error) caller.Reason {
+	switch {
+	case errors.Is(err, caller.ErrNotSent):
+		return caller.ReasonBackendUnreachable
+	case errors.Is(err, caller.ErrBadBody):
+		return caller.ReasonBodyBroken
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return caller.ReasonTimeout
+	case ctx.Err() != nil:
+		return caller.ReasonCanceled
+	default:
+		return caller.ReasonBackendFailed
+	}
+}
+
 // backendError turns a failed run into a refusal.
-func (e *Executor) backendError(ctx context.Context, call *caller.Call, entry *deduplicator.Entry, err error) *caller.Answer {
-	if errors.Is(err, caller.ErrNotSent) {
-		answer := e.refuseBound(call, entry, caller.ReasonBackendUnreachable)
+func (e *Executor) backendError(call *caller.Call, entry *deduplicator.Entry, reason caller.Reason, err error) *caller.Answer {
+	if reason == caller.ReasonBackendUnreachable {
+		answer := e.refuseBound(call, entry, reason)
 		answer.Detail = err.Error()
 		return answer
 	}
-	reason := caller.ReasonBackendFailed
-	if errors.Is(err, caller.ErrBadBody) {
-		reason = caller.ReasonBodyBroken
-	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = caller.ReasonTimeout
-	} else if ctx.Err() != nil {
-		reason = caller.ReasonCanceled
-	}
 	answer := e.refuse(call, caller.Unknown, reason)
 	answer.Detail = err.Error()
 	answer.Arrived = true
