Never deny a call whose target dies while it is asked for the outcome

A call ran at a backend server whose node was killed; the node of the caller asked for the outcome until the members removed the target, and then took a missing target for a call that was never sent, since it holds the token itself.

Change: only a call that was not asked about is denied when its target is gone.

Ruled out: the incarnation's answer, which is denied only before the first question.

--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -180,7 +180,7 @@
 	target, reason := a.pick()
 	if target == nil {
 		outcome := caller.NotRun
-		if a.call.Token != nil && !a.minted || a.mayRun {
+		if a.call.Token != nil && !a.exclusive() || a.mayRun {
 			outcome = caller.Unknown
 		}
 		return a.refuse(outcome, reason)
