Keep a frozen node's runs from closing its routes

Each run that was under way in the frozen node raised the least time of its route by a hundredth of the freeze; calls with less time left were refused as hopeless, so that no run ever lowered it again.

Change: one run raises the least time by a hundredth of itself at most, and a least time without a run for 2 s refuses nothing. A test that failed first.

--- a/internal/request/executor/admission.go
+++ b/internal/request/executor/admission.go
@@ -57,9 +57,10 @@
 		e.mu.Unlock()
 		return nil, reason
 	}
-	ticket := admitter.NewTicket(call.Route, call.Priority, call.Hop, call.Deadline, e.expected[call.Route])
+	now := time.Now()
+	ticket := admitter.NewTicket(call.Route, call.Priority, call.Hop, call.Deadline, e.expected[call.Route].at(now))
 	ticket.Patience = call.Patience
-	e.admitter.Arrive(time.Now(), ticket)
+	e.admitter.Arrive(now, ticket)
 	e.mu.Unlock()
 	select {
 	case reason := <-ticket.Verdict:
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -76,7 +76,7 @@
 	mu       sync.Mutex
 	admitter *admitter.Admitter
 	tokens   *deduplicator.Table
-	expected map[string]time.Duration
+	expected map[string]expectation
 	leaving  bool
 	// instance is the registered backend server; empty while there is none.
 	instance string
@@ -90,7 +90,7 @@
 	e := &Executor{
 		config:   config,
 		tokens:   deduplicator.New(config.ID, config.Incarnation, deduplicator.DefaultLimits()),
-		expected: make(map[string]time.Duration),
+		expected: make(map[string]expectation),
 		slots:    config.Slots,
 		classes:  classifier.NewTable(),
 	}
@@ -287,19 +287,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.admitter.Done(now, ticket, inbound.Waited(now), failed)
-	e.learn(call.Route, total)
-}
-
-// learn keeps the least time that calls of a route take: it falls at once and
-// rises slowly.
-func (e *Executor) learn(route string, total time.Duration) {
-	const riseShare = 100
-	known, ok := e.expected[route]
-	if !ok || total < known {
-		e.expected[route] = total
-		return
-	}
-	e.expected[route] = known + (total-known)/riseShare
+	e.expected[call.Route] = e.expected[call.Route].learn(now, total)
 }
 
 // failure returns why a run failed; ctx is that of the run, not yet ended by it.
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,18 +18,76 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 )
 
-// backend fails each run.
+// backend answers each run after some time, or fails it.
 type backend struct {
-	err error
+	takes time.Duration
+	err   error
 }
 
 // Do implements caller.Backend.
-func (b backend) Do(context.Context, *caller.Call) (*caller.Answer, error) {
-	return nil, b.err
+func (b *backend) Do(context.Context, *caller.Call) (*caller.Answer, error) {
+	time.Sleep(b.takes)
+	if b.err != nil {
+		return nil, b.err
+	}
+	return &caller.Answer{
+		Outcome: caller.Answered,
+		Status:  200,
+		Body:    io.NopCloser(strings.NewReader("x")),
+	}, nil
 }
 
-func TestFailedRunTellsWhy(t *testing.T) {
+func newExecutor(b *backend) *Executor {
 	settings := &describer.Settings{}
+	return New(Config{
+		ID:       "n-1",
+		Slots:    40,
+		Backend:  b,
+		Recorder: recorder.New(nil, "n-1", 16),
+		Inbound:  tracker.NewTable(),
+		Settings: func() *describer.Settings {
+			return settings
+		},
+	})
+}
+
+func execute(e *Executor, id string, timeout time.Duration) *caller.Answer {
+	answer := e.Execute(context.Background(), &caller.Call{
+		CallID:     id,
+		Route:      "r",
+		Idempotent: true,
+		Deadline:   time.Now().Add(timeout),
+	})
+	answer.Close()
+	return answer
+}
+
+func TestRunsOfAFrozenNodeDoNotCloseARoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{
+			takes: 30 * time.Millisecond,
+		}
+		e := newExecutor(b)
+		for i := range 20 {
+			execute(e, fmt.Sprint("a", i), time.Second)
+		}
+		// Thirty runs are under way while the node stands still for 8 s.
+		b.takes = 8 * time.Second
+		var runs sync.WaitGroup
+		for i := range 30 {
+			runs.Go(func() {
+				execute(e, fmt.Sprint("b", i), 10*time.Second)
+			})
+		}
+		runs.Wait()
+		b.takes = 30 * time.Millisecond
+		if got := execute(e, "c", 700*time.Millisecond); got.Outcome != caller.Answered {
+			t.Errorf("call with 700 ms left after the freeze: got %v with reason %v, want answered", got.Outcome, got.Reason)
+		}
+	})
+}
+
+func TestFailedRunTellsWhy(t *testing.T) {
 	for _, test := range []struct {
 		name string
 		err  error
@@ -34,16 +97,7 @@
 		{"request not sent", caller.NotSent(errors.New("connection refused")), caller.ReasonBackendUnreachable},
 		{"broken body", errors.Mark(errors.New("unexpected end"), caller.ErrBadBody), caller.ReasonBodyBroken},
 	} {
-		e := New(Config{
-			ID:       "n-1",
-			Slots:    4,
-			Backend:  backend{err: test.err},
-			Recorder: recorder.New(nil, "n-1", 16),
-			Inbound:  tracker.NewTable(),
-			Settings: func() *describer.Settings {
-				return settings
-			},
-		})
+		e := newExecutor(&backend{err: test.err})
 		answer := e.Execute(context.Background(), &caller.Call{
 			CallID:     "c",
 			Idempotent: true,
