--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -39,7 +39,7 @@
 // less than a thousandth of a request that is lost with it.
 const (
 	platformSpill       = 0.75
-	platformRegionSpill = 1.25
+	platformRegionSpill = 2.0
 )
 
 // settingsLog returns the log with the product's own settings stream. On the
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -26,7 +26,7 @@
 	defaultSpill = 0.8
 	// regionGain is by how much less busy a target of another region has to be
 	// where the way between regions has a price.
-	regionGain = 0.6
+	regionGain = 1.0
 	// loadAge is the time for which a reported load counts.
 	loadAge = time.Second
 	// latencyWeight is the weight of a new latency in the moving average.
