--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -35,8 +35,8 @@
 const cancelGrace = 250 * time.Millisecond
 
 // The utilizations from which a target's zone and its region are left. Bytes
-// between regions cost five times those between zones, but a call of 1 KB costs
-// less than a thousandth of a request that is lost with it.
+// between regions cost five times those between zones; a call between regions
+// costs about a tenth of the least request that depends on it.
 const (
 	platformSpill       = 0.75
 	platformRegionSpill = 2.0
