Let the tests' backend servers keep sending heartbeats, on addresses that differ

Cause: beside 36 busy processes TestPlatformLeavingBackendServerGetsNoNewWork failed in 5 of 9 runs. The test process stood still for 6 s; the stand-in had sent one heartbeat, so the node rightly took the backend server as gone for good. The users' backend servers send one each interval, with rising sequence. Once two addresses of a place were the same, since each was given back before the next was drawn.

Change: a place repeats its heartbeat until it is deregistered; its addresses are held until all are drawn.

--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +26,9 @@
 // can.
 const patience = 20 * time.Second
 
+// heartbeatInterval is the time between two heartbeats.
+const heartbeatInterval = time.Second
+
 // place is one machine: a backend server that speaks the platform, and its node.
 type place struct {
 	id      string
@@ -36,6 +40,12 @@
 	runs    atomic.Int32
 	last    atomic.Pointer[http.Request]
 	delay   atomic.Int64
+
+	// mu guards what the backend server says of itself in its heartbeats; an empty
+	// state means that it sends none.
+	mu       sync.Mutex
+	state    string
+	sequence int
 }
 
 // deployment is a store and the machines.
@@ -73,14 +83,20 @@
 	}
 }
 
-func free(t *testing.T, host string) netip.AddrPort {
+// free returns addresses of one host. All are held until the last one is found, so
+// that no two are the same.
+func free(t *testing.T, host string, count int) []netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		t.Fatal(err)
+	var addresses []netip.AddrPort
+	for range count {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().(*net.TCPAddr).AddrPort())
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	return addresses
 }
 
 // start runs a backend server and its node on a loopback address of their own.
@@ -103,14 +119,15 @@
 	d.t.Cleanup(func() {
 		server.Close()
 	})
+	addresses := free(d.t, host, 5)
 	p.config = configurer.Config{
 		ID:             fmt.Sprintf("node-%d", d.sequence),
 		Region:         "r",
 		Zone:           "z",
 		Service:        describer.ServiceName{Team: "county", Name: service},
-		CallAddress:    free(d.t, host),
-		AdminAddress:   free(d.t, host),
-		PeerAddress:    free(d.t, host),
+		CallAddress:    addresses[0],
+		AdminAddress:   addresses[1],
+		PeerAddress:    addresses[2],
 		BackendAddress: listener.Addr().(*net.TCPAddr).AddrPort(),
 		Slots:          10,
 		Connections:    10,
@@ -118,11 +135,12 @@
 		StopTimeout:    10 * time.Second,
 		DecisionsKept:  100,
 		Platform: &configurer.Platform{
-			ReadinessAddress:  free(d.t, host),
-			RegistryAddress:   free(d.t, host),
-			HeartbeatInterval: time.Second,
+			ReadinessAddress:  addresses[3],
+			RegistryAddress:   addresses[4],
+			HeartbeatInterval: heartbeatInterval,
 		},
 	}
+	go d.keepBeating(p)
 	d.run(p)
 	return p
 }
@@ -165,16 +183,55 @@
 	fmt.Fprintf(w, "%s ran %s", p.id, r.RequestURI)
 }
 
-// beat sends one heartbeat to the place's node and returns the status.
-func (d *deployment) beat(p *place, state string, sequence int) int {
-	d.t.Helper()
+// keepBeating repeats the place's last heartbeat, as the platform's backend
+// servers do, so that a test that is held up loses no registration.
+func (d *deployment) keepBeating(p *place) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.repeat(p)
+		case <-d.t.Context().Done():
+			return
+		}
+	}
+}
+
+func (d *deployment) repeat(p *place) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state != "" {
+		d.heartbeat(p)
+	}
+}
+
+// beat sends a heartbeat to the place's node, which is repeated from now on, and
+// returns the status.
+func (d *deployment) beat(p *place, state string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = state
+	return d.heartbeat(p)
+}
+
+// deregister takes the place's backend server away.
+func (d *deployment) deregister(p *place) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = ""
+	return d.post(p, "/-/Instances.Deregister/"+p.id, "")
+}
+
+// heartbeat sends one heartbeat; p.mu is held, so that they arrive in order.
+func (d *deployment) heartbeat(p *place) int {
+	p.sequence++
 	body := fmt.Sprintf(`{"address":%q,"born":1000,"info":{"service":%q,"version":"v1","zone":"z","slots":10},"status":{"state":%q,"seq":%d,"warmupLeftS":0}}`,
-		p.config.BackendAddress, p.service, state, sequence)
+		p.config.BackendAddress, p.service, p.state, p.sequence)
 	return d.post(p, "/-/Instances.Heartbeat/"+p.id, body)
 }
 
 func (d *deployment) post(p *place, path, body string) int {
-	d.t.Helper()
 	resp, err := http.Post("http://"+p.config.Platform.RegistryAddress.String()+path, "application/json", strings.NewReader(body))
 	if err != nil {
 		return 0
@@ -255,8 +312,8 @@
 	d.t.Helper()
 	d.configure(1, "")
 	a, b = d.start("a"), d.start("b")
-	d.beat(a, "ready", 1)
-	d.beat(b, "ready", 1)
+	d.beat(a, "ready")
+	d.beat(b, "ready")
 	d.settled(a, b)
 	return a, b
 }
--- a/internal/process/runner/platform_test.go
+++ b/internal/process/runner/platform_test.go
@@ -19,8 +19,8 @@
 		t.Error("ready without settings and targets")
 	}
 	d.configure(1, "")
-	d.beat(a, "ready", 1)
-	d.beat(b, "ready", 1)
+	d.beat(a, "ready")
+	d.beat(b, "ready")
 	d.settled(a, b)
 	got := d.send(b, "GET", "/safe/1?x=%2F", "1")
 	if got.status != 200 || got.body != "i-1 ran /safe/1?x=%2F" || got.header.Get("X-Laburnumshelf-Response-Signature") != "signed-by-i-1" {
@@ -46,10 +46,10 @@
 	d.configure(1, "")
 	first, second, entry := d.start("a"), d.start("a"), d.start("b")
 	for _, p := range []*place{first, second, entry} {
-		d.beat(p, "ready", 1)
+		d.beat(p, "ready")
 	}
 	d.settled(first, second, entry)
-	if got := d.beat(first, "draining", 2); got != 200 {
+	if got := d.beat(first, "draining"); got != 200 {
 		t.Fatalf("got %d, want the leaving acknowledged", got)
 	}
 	before := first.runs.Load()
@@ -65,7 +65,7 @@
 	if got := first.runs.Load(); got != before {
 		t.Errorf("got %d runs after the acknowledgement, want none", got-before)
 	}
-	d.post(second, "/-/Instances.Deregister/"+second.id, "")
+	d.deregister(second)
 	if got := d.send(entry, "GET", "/safe/1", "last"); got.status != 503 || got.header.Get("Retry-After") == "" {
 		t.Errorf("no target left: got %d, Retry-After %q, want 503 with a time", got.status, got.header.Get("Retry-After"))
 	}
@@ -77,7 +77,7 @@
 	target.stop()
 	<-target.done
 	d.run(target)
-	d.beat(target, "ready", 2)
+	d.beat(target, "ready")
 	d.settled(target, entry)
 	if got := d.send(entry, "GET", "/safe/1", "1"); got.status != 200 {
 		t.Errorf("got %d, want 200", got.status)
