Name the timeout of an attempt, and share the fading of sums

The field's term is a timeout; patience is what a call has in a queue. Three packages halved their sums with time in the same lines. No change of behavior.

--- a/internal/request/attributor/attributor.go
+++ b/internal/request/attributor/attributor.go
@@ -14,11 +14,11 @@
 package attributor
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/fader"
 )
 
 // Attribution parameters.
@@ -34,14 +34,16 @@
 // safe for concurrent use.
 type Table struct {
 	mu       sync.Mutex
-	updated  time.Time
+	fade     fader.Fader
 	failed   float64
 	strained float64
 }
 
 // NewTable returns a table without failures.
 func NewTable() *Table {
-	return &Table{}
+	return &Table{
+		fade: fader.New(halfLife),
+	}
 }
 
 // Failed counts one failed call and the part of the failure, from 0 to 1, that is
@@ -67,12 +69,9 @@
 }
 
 func (t *Table) decay(now time.Time) {
-	if elapsed := now.Sub(t.updated); elapsed > 0 {
-		weight := math.Exp2(-float64(elapsed) / float64(halfLife))
-		t.failed *= weight
-		t.strained *= weight
-	}
-	t.updated = now
+	weight := t.fade.Weight(now)
+	t.failed *= weight
+	t.strained *= weight
 }
 
 // Strain returns the part of a failed call that is due to a lack of capacity. Load
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -35,11 +35,11 @@
 	// arrived is the attempts that may have reached a backend server and were
 	// followed by another.
 	arrived int
-	// member and loadAge are those of the target chosen last, and wait how long to
-	// wait for its answer, or 0.
+	// member and loadAge are those of the target chosen last; timeout is that of the
+	// attempt at it, or 0.
 	member  *encoder.Member
 	loadAge time.Duration
-	wait    time.Duration
+	timeout time.Duration
 }
 
 // prepare refuses what must not be attempted and takes the allowance.
@@ -200,7 +200,7 @@
 	id := a.member.GetId()
 	a.tried = append(a.tried, id)
 	a.d.record(&call, action, reason, caller.Answered, id, 0)
-	ctx, answer, err := a.sendPatiently(ctx, target, &call)
+	ctx, answer, err := a.sendWithin(ctx, target, &call)
 	a.made++
 	if err != nil {
 		return a.failed(ctx, &call, id, err)
@@ -252,7 +252,7 @@
 		}
 	case errors.Is(err, caller.ErrBadBody):
 		answer.Reason = caller.ReasonBodyBroken
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(context.Cause(ctx), errLost):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(context.Cause(ctx), errAttemptTimeout):
 		answer.Reason = caller.ReasonTimeout
 	case ctx.Err() != nil:
 		answer.Reason = caller.ReasonCanceled
@@ -270,7 +270,7 @@
 		a.member = target.Member
 		now := time.Now()
 		a.loadAge = target.LoadAge(now)
-		a.wait = a.patience(now, target)
+		a.timeout = a.attemptTimeout(now, target)
 	}
 	return target, reason
 }
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -241,7 +241,7 @@
 	}
 	if err != nil {
 		// A caller that gave up says nothing about the target.
-		observation.Failed = !errors.Is(ctx.Err(), context.Canceled) || errors.Is(context.Cause(ctx), errLost)
+		observation.Failed = !errors.Is(ctx.Err(), context.Canceled) || errors.Is(context.Cause(ctx), errAttemptTimeout)
 	} else {
 		observation.Load = &answer.Load
 		observation.Failed = answer.Reason == caller.ReasonBackendUnreachable || answer.Reason == caller.ReasonBackendFailed
--- a/internal/request/dispatcher/repeat.go
+++ b/internal/request/dispatcher/repeat.go
@@ -17,12 +17,12 @@
 	// The users' platform allows 0.2 of them in 10 s; with what is stored (see
 	// retrier.Share) this stays below.
 	repeatRatio = 0.14
-	// patienceFactor is the usual times after which a call counts as lost: one of a
+	// attemptTimeoutFactor is the usual times after which a call counts as lost: one of a
 	// hundred answers takes that long.
-	patienceFactor = 5
-	// leastPatience is the least time after which a call counts as lost: a queue's
+	attemptTimeoutFactor = 5
+	// leastAttemptTimeout is the least time after which a call counts as lost: a queue's
 	// wait and a trip between regions are no loss.
-	leastPatience = 80 * time.Millisecond
+	leastAttemptTimeout = 80 * time.Millisecond
 )
 
 // share returns what may be repeated at a service.
@@ -43,10 +43,10 @@
 		a.call.Body.Replayable() && a.arrived == 0
 }
 
-// patience returns the time after which the attempt at target counts as lost, or 0
-// if the call has to wait until its deadline: where a run makes calls, repeating it
+// attemptTimeout returns the time after which the attempt at target counts as lost, or 0
+// if it has until the deadline of the call: where a run makes calls, repeating it
 // repeats them too, and a full target only needs time. a.d.mu is held.
-func (a *attempts) patience(now time.Time, target *router.Target) time.Duration {
+func (a *attempts) attemptTimeout(now time.Time, target *router.Target) time.Duration {
 	if !a.repeatable() || !a.d.classes[a.call.Route] || target.LoadAge(now) > maxLoadAge {
 		return 0
 	}
@@ -58,7 +58,7 @@
 	if usual == 0 {
 		return 0
 	}
-	return max(patienceFactor*usual, leastPatience)
+	return max(attemptTimeoutFactor*usual, leastAttemptTimeout)
 }
 
 // repeats reports whether the call is to be sent to a second backend server after
@@ -80,25 +80,25 @@
 	return !a.d.overloaded(a.call.Service) && a.d.share(a.call).Withdraw(now)
 }
 
-// errLost ends an attempt that took longer than its patience.
-var errLost = errors.New("no answer within the patience of the attempt")
+// errAttemptTimeout ends an attempt that took longer than its timeout.
+var errAttemptTimeout = errors.New("no answer within the timeout of the attempt")
 
-// sendPatiently makes one attempt and ends it when its patience is over. An answer
+// sendWithin makes one attempt and ends it after its timeout. An answer
 // that has begun is read to its end. The context returned tells why an attempt
 // without an answer ended.
-func (a *attempts) sendPatiently(ctx context.Context, target *router.Target, call *caller.Call) (context.Context, *caller.Answer, error) {
-	if a.wait == 0 {
+func (a *attempts) sendWithin(ctx context.Context, target *router.Target, call *caller.Call) (context.Context, *caller.Answer, error) {
+	if a.timeout == 0 {
 		answer, err := a.d.send(ctx, target, a.member, call)
 		return ctx, answer, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(a.wait, func() {
-		cancel(errLost)
+	timer := time.AfterFunc(a.timeout, func() {
+		cancel(errAttemptTimeout)
 	})
 	answer, err := a.d.send(ctx, target, a.member, call)
 	if err == nil && !timer.Stop() {
 		answer.Close()
-		err = errLost
+		err = errAttemptTimeout
 	}
 	return ctx, answer, err
 }
--- a/internal/request/retrier/share.go
+++ b/internal/request/retrier/share.go
@@ -1,9 +1,10 @@
 package retrier
 
 import (
-	"math"
 	"sync"
 	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/fader"
 )
 
 // shareHalfLife is the time after which what first attempts earned counts half.
@@ -18,7 +19,7 @@
 type Share struct {
 	mu      sync.Mutex
 	ratio   float64
-	updated time.Time
+	fade    fader.Fader
 	balance float64
 }
 
@@ -26,6 +27,7 @@
 func NewShare(ratio float64) *Share {
 	return &Share{
 		ratio: ratio,
+		fade:  fader.New(shareHalfLife),
 	}
 }
 
@@ -33,25 +35,17 @@
 func (s *Share) Attempted(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.decay(now)
-	s.balance += s.ratio
+	s.balance = s.balance*s.fade.Weight(now) + s.ratio
 }
 
 // Withdraw takes one repeat and reports whether it was earned.
 func (s *Share) Withdraw(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.decay(now)
+	s.balance *= s.fade.Weight(now)
 	if s.balance < 1 {
 		return false
 	}
 	s.balance--
 	return true
 }
-
-func (s *Share) decay(now time.Time) {
-	if elapsed := now.Sub(s.updated); elapsed > 0 {
-		s.balance *= math.Exp2(-float64(elapsed) / float64(shareHalfLife))
-	}
-	s.updated = now
-}
--- a/internal/request/surveyor/surveyor.go
+++ b/internal/request/surveyor/surveyor.go
@@ -10,9 +10,10 @@
 package surveyor
 
 import (
-	"math"
 	"sync"
 	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/fader"
 )
 
 // Survey parameters.
@@ -31,15 +32,17 @@
 // Survey counts the runs of the local backend server and the calls that it makes.
 // Its methods are safe for concurrent use.
 type Survey struct {
-	mu      sync.Mutex
-	updated time.Time
-	runs    float64
-	calls   float64
+	mu    sync.Mutex
+	fade  fader.Fader
+	runs  float64
+	calls float64
 }
 
 // New returns a Survey that has seen nothing.
 func New() *Survey {
-	return &Survey{}
+	return &Survey{
+		fade: fader.New(halfLife),
+	}
 }
 
 // Ran counts a run.
@@ -67,10 +70,7 @@
 }
 
 func (s *Survey) decay(now time.Time) {
-	if elapsed := now.Sub(s.updated); elapsed > 0 {
-		weight := math.Exp2(-float64(elapsed) / float64(halfLife))
-		s.runs *= weight
-		s.calls *= weight
-	}
-	s.updated = now
+	weight := s.fade.Weight(now)
+	s.runs *= weight
+	s.calls *= weight
 }
