--- a/internal/request/dispatcher/repeat.go
+++ b/internal/request/dispatcher/repeat.go
@@ -17,11 +17,12 @@
 	// The users' platform allows 0.2 of them in 10 s; with what is stored (see
 	// retrier.Share) this stays below.
 	repeatRatio = 0.14
-	// attemptTimeoutFactor is the usual times after which a call counts as lost: one of a
-	// hundred answers takes that long.
+	// attemptTimeoutFactor is the usual times after which a call counts as lost:
+	// longer than the work of the users' backend servers varies, and short enough
+	// for another attempt before the deadline.
 	attemptTimeoutFactor = 5
-	// leastAttemptTimeout is the least time after which a call counts as lost: a queue's
-	// wait and a trip between regions are no loss.
+	// leastAttemptTimeout is the least time after which a call counts as lost: a
+	// queue's wait and a trip between regions are no loss.
 	leastAttemptTimeout = 80 * time.Millisecond
 )
 
@@ -43,9 +44,9 @@
 		a.call.Body.Replayable() && a.arrived == 0
 }
 
-// attemptTimeout returns the time after which the attempt at target counts as lost, or 0
-// if it has until the deadline of the call: where a run makes calls, repeating it
-// repeats them too, and a full target only needs time. a.d.mu is held.
+// attemptTimeout returns the time after which the attempt at target counts as
+// lost, or 0 if it has until the deadline of the call: where a run makes calls,
+// repeating it repeats them too, and a full target only needs time. a.d.mu is held.
 func (a *attempts) attemptTimeout(now time.Time, target *router.Target) time.Duration {
 	if !a.repeatable() || !a.d.classes[a.call.Route] || target.LoadAge(now) > maxLoadAge {
 		return 0
