Cut other routes earlier, and let clients' requests wait longer for a slot

Since inner calls are no longer throttled they fill waterpoint, where they go first; water-book is last there and gave up after a quarter of its objective, while lookups were let in until an eighth of them failed.

Change: routes that are not urgent are cut from 8% of failures for lack of capacity, by 0.8 of them; a client's request waits for 0.45 of its objective.

--- a/internal/request/dispatcher/throttle.go
+++ b/internal/request/dispatcher/throttle.go
@@ -14,19 +14,20 @@
 )
 
 // patienceShare is the share of its objective for which a client's request may
-// wait for a slot: a refusal that comes later than that costs its caller more
-// than an early one.
-const patienceShare = 0.25
+// wait for a slot: long enough for long requests at a service that also serves calls
+// of backend servers, which go first, and with half of the objective left to run.
+const patienceShare = 0.45
 
 // maxLoadAge is the age up to which a report explains a call without an answer:
 // such a call ends by its timeout, mostly under a second.
 const maxLoadAge = time.Second
 
 // Urgent requests are let in until a third of them fail: what they leave room
-// for by failing is worth less.
+// for by failing is worth less. Others are cut before a tenth fails, since what is
+// done for a request that fails takes the room of others at the bottleneck.
 var (
 	urgentPolicy = throttler.Policy{Few: 0.15, Many: 0.35, Cut: 0.4}
-	otherPolicy  = throttler.Policy{Few: 0.05, Many: 0.12, Cut: 0.6}
+	otherPolicy  = throttler.Policy{Few: 0.04, Many: 0.08, Cut: 0.8}
 )
 
 // retryShare is the share of its objective after which a refused client may come
