Judge the age of a load report in one place, and drop what repeats it

The dispatcher had its own age up to which a report counts, beside the router's, and each place compared it by itself: Target.RecentLoad serves all, and Target.Load has no caller left. One flag says that a call was repeated, where a count was compared with zero; calls of the users' platform no longer earn for the budget that they never draw on; the timer of an attempt is stopped also when the attempt failed. Two classifier tests share their list of services.

--- a/internal/request/classifier/classifier_test.go
+++ b/internal/request/classifier/classifier_test.go
@@ -5,8 +5,10 @@
 	"testing"
 )
 
+// services is those at whose nodes clients' calls begin.
+var services = []string{"allot", "desk", "cartographer", "waterpoint"}
+
 func TestRoutesAreToldApartByWhereCallsBegin(t *testing.T) {
-	services := []string{"allot", "desk", "cartographer", "waterpoint"}
 	table := NewTable()
 	for i := range 1000 {
 		table.Observe("client", services[i%len(services)])
@@ -31,7 +33,7 @@
 	// backend servers then make the same calls.
 	table := NewTable()
 	for i := range 1000 {
-		table.Observe("client", []string{"allot", "desk", "cartographer", "waterpoint"}[i%4])
+		table.Observe("client", services[i%len(services)])
 		table.Observe("called", []string{"desk", "allot", "desk"}[i%3])
 	}
 	if !table.Inner("called") {
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -32,9 +32,9 @@
 	mayRun  bool
 	resolve int
 	path    caller.Priority
-	// arrived is the attempts that may have reached a backend server and were
-	// followed by another.
-	arrived int
+	// repeated tells that an attempt that reached a backend server was followed by
+	// another.
+	repeated bool
 	// member and loadAge are those of the target chosen last; timeout is that of the
 	// attempt at it, or 0.
 	member  *encoder.Member
@@ -150,9 +150,10 @@
 	if refusal := a.bind(); refusal != nil {
 		return refusal
 	}
-	a.d.budget(a.call.Service).Attempted()
 	if a.call.MaxTargets > 0 {
 		a.d.share(a.call).Attempted(time.Now())
+	} else {
+		a.d.budget(a.call.Service).Attempted()
 	}
 	for {
 		answer := a.attempt(ctx)
@@ -348,7 +349,7 @@
 		if !a.repeats(answer) {
 			return false
 		}
-		a.arrived++
+		a.repeated = true
 		return true
 	}
 	switch answer.Outcome {
--- a/internal/request/dispatcher/repeat.go
+++ b/internal/request/dispatcher/repeat.go
@@ -41,17 +41,17 @@
 // repeatable reports whether the call may reach a second backend server at all.
 func (a *attempts) repeatable() bool {
 	return a.call.MaxTargets > 1 && a.call.Idempotent && a.call.Token == nil &&
-		a.call.Body.Replayable() && a.arrived == 0
+		a.call.Body.Replayable() && !a.repeated
 }
 
 // attemptTimeout returns the time after which the attempt at target counts as
 // lost, or 0 if it has until the deadline of the call: where a run makes calls,
 // repeating it repeats them too, and a full target only needs time. a.d.mu is held.
 func (a *attempts) attemptTimeout(now time.Time, target *router.Target) time.Duration {
-	if !a.repeatable() || !a.d.classes[a.call.Route] || target.LoadAge(now) > maxLoadAge {
+	if !a.repeatable() || !a.d.classes[a.call.Route] {
 		return 0
 	}
-	load := target.Load()
+	load := target.RecentLoad(now)
 	if !load.Leaf || load.Utilization() >= 1 {
 		return 0
 	}
@@ -97,7 +97,7 @@
 		cancel(errAttemptTimeout)
 	})
 	answer, err := a.d.send(ctx, target, a.member, call)
-	if err == nil && !timer.Stop() {
+	if !timer.Stop() && err == nil {
 		answer.Close()
 		err = errAttemptTimeout
 	}
--- a/internal/request/dispatcher/throttle.go
+++ b/internal/request/dispatcher/throttle.go
@@ -18,10 +18,6 @@
 // of backend servers, which go first, and with half of the objective left to run.
 const patienceShare = 0.45
 
-// maxLoadAge is the age up to which a report explains a call without an answer:
-// such a call ends by its timeout, mostly under a second.
-const maxLoadAge = time.Second
-
 // Urgent requests are let in until a third of them fail: what they leave room
 // for by failing is worth less. Others are cut before a tenth fails, since what is
 // done for a request that fails takes the room of others at the bottleneck.
@@ -93,16 +89,16 @@
 	if answer.Outcome == caller.Answered {
 		d.classes[a.call.Route] = answer.Inner
 	}
-	if inner, known := d.classes[a.call.Route]; inner || !known {
+	inner, known := d.classes[a.call.Route]
+	if inner || !known {
 		d.survey.Called(now)
 	}
 	strain := 0.0
-	failed := answer.Outcome != caller.Answered || answer.Status >= 500
-	if failed {
+	if answer.Outcome != caller.Answered || answer.Status >= 500 {
 		strain = attributor.Strain(answer, a.load(now, answer))
-	}
-	if failed && d.classes[a.call.Route] {
-		d.failures.Failed(now, strain)
+		if inner {
+			d.failures.Failed(now, strain)
+		}
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		d.throttle.Ended(now, a.call.Route, strain)
@@ -116,10 +112,10 @@
 		return answer.Load
 	}
 	target := a.d.router.Target(a.member.GetId())
-	if target == nil || target.LoadAge(now) > maxLoadAge {
+	if target == nil {
 		return caller.Load{}
 	}
-	return target.Load()
+	return target.RecentLoad(now)
 }
 
 // Ran counts a run of this node's backend server.
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -208,8 +208,7 @@
 	}
 	busy := 0
 	for _, target := range g.targets {
-		recent := now.Sub(target.loadTime) < loadAge
-		if recent && (target.load.Threshold > 0 || target.load.Utilization() >= 1) {
+		if load := target.RecentLoad(now); load.Threshold > 0 || load.Utilization() >= 1 {
 			busy++
 		}
 	}
--- a/internal/request/router/score.go
+++ b/internal/request/router/score.go
@@ -12,11 +12,9 @@
 	if target.load.Limit == 0 {
 		limit = float64(max(target.Member.GetSlots(), 1))
 	}
-	busy := float64(target.inFlight)
-	if now.Sub(target.loadTime) < loadAge {
-		busy = max(busy, float64(target.load.InFlight+target.load.Queued))
-	}
-	score := (busy + 1) / limit
+	recent := target.RecentLoad(now)
+	busy := max(target.inFlight, recent.InFlight+recent.Queued)
+	score := float64(busy+1) / limit
 	if r.slow(now, target, median) || r.stalled(now, target) {
 		score++
 	}
--- a/internal/request/router/target.go
+++ b/internal/request/router/target.go
@@ -31,8 +31,12 @@
 	return t.inFlight
 }
 
-// Load returns the load that the target last reported.
-func (t *Target) Load() caller.Load {
+// RecentLoad returns the load that the target last reported, or the zero value where
+// that is too long ago.
+func (t *Target) RecentLoad(now time.Time) caller.Load {
+	if now.Sub(t.loadTime) >= loadAge {
+		return caller.Load{}
+	}
 	return t.load
 }
 
