Give every attempt its own reader of the request body

Cause: two readers shared the rest of a large request body. An upload that was refused or answered early left its sender reading in the background. A further attempt under a successor token sent the first 64 KiB again and then whatever the first sender had not taken yet, with a clean end. When an answer came early, the HTTP server discarded up to 256 KiB of the body before it wrote the answer, while the sender read on. In both cases the backend server got a body with a gap. Queries for the outcome of a call sent its body too.

A body whose beginning is no longer kept is not sent again. The entry uses full duplex mode for bodies that are still arriving, and discards the rest itself after the answer. Queries for the outcome carry no body.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -166,6 +166,7 @@
 		a.writeAnswer(stream, caller.NewFailure(caller.NotRun, caller.ReasonBodyBroken))
 		return
 	}
+	defer call.Body.Close()
 	answer := a.config.Executor.Execute(ctx, call)
 	defer answer.Close()
 	a.writeAnswer(stream, answer)
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -230,7 +230,7 @@
 		}
 		return caller.NewFailure(caller.Unknown, caller.ReasonBodyBroken)
 	})
-	body := brokenReader{bytes.NewReader(make([]byte, 2*caller.MaxBufferedBodyBytes))}
+	body := brokenReader{bytes.NewReader(make([]byte, 2*caller.PrefetchBytes))}
 	if answer, err := p.call(t.Context(), "x", body); err == nil {
 		answer.Close()
 	}
--- /dev/null
+++ b/internal/connection/gateway/body.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+)
+
+// Limits for the rest of a request body whose answer was already sent.
+const (
+	maxDiscardedBytes = 1 << 20
+	discardTimeout    = 5 * time.Second
+)
+
+// OpenBody returns the body of a request, which the caller must close. A large body is
+// still being received.
+//
+// If the answer comes before such a body was read, the HTTP server would by default
+// discard a part of it before it sends the answer, while an attempt reads the rest. In
+// full duplex mode it leaves the body alone until the handler returns.
+func OpenBody(c echo.Context) (*caller.Body, error) {
+	body, err := caller.NewBody(c.Request().Body)
+	if err != nil || body.Complete() {
+		return body, err
+	}
+	if err := http.NewResponseController(c.Response()).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, errors.Wrap(err, "enable sending the answer while the body arrives")
+	}
+	return body, nil
+}
+
+// FinishBody ends the use of a request body after the answer was written. It discards
+// what the caller still sends, because the HTTP server must not find the end of the body
+// itself in full duplex mode. If the rest is too long or too late, FinishBody aborts the
+// connection.
+func FinishBody(c echo.Context, body *caller.Body) {
+	if body.Complete() {
+		return
+	}
+	// The caller may wait for the answer before it sends the rest.
+	c.Response().Flush()
+	controller := http.NewResponseController(c.Response())
+	if err := controller.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		panic(http.ErrAbortHandler)
+	}
+	if err := body.Discard(maxDiscardedBytes); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -60,12 +60,24 @@
 
 func (g *gateway) handle(c echo.Context) error {
 	call, err := g.readCall(c.Request())
+	if err == nil {
+		call.Body, err = OpenBody(c)
+		err = errors.Wrap(err, "request body")
+	}
 	if err != nil {
 		badRequests.Add(1)
 		return c.String(http.StatusBadRequest, err.Error()+"\n")
 	}
+	defer call.Body.Close()
 	answer := g.config.Dispatcher.Dispatch(c.Request().Context(), call)
 	defer answer.Close()
+	err = g.writeAnswer(c, call, answer)
+	FinishBody(c, call.Body)
+	return err
+}
+
+// writeAnswer writes any answer to a call.
+func (g *gateway) writeAnswer(c echo.Context, call *caller.Call, answer *caller.Answer) error {
 	h := c.Response().Header()
 	h.Set(labeler.RequestID, call.RequestID)
 	h.Set(labeler.Outcome, answer.Outcome.String())
@@ -183,8 +195,7 @@
 		return nil, err
 	}
 	call.Header = forwardedHeaders(req)
-	call.Body, err = caller.NewBody(req.Body)
-	return call, errors.Wrap(err, "request body")
+	return call, nil
 }
 
 // parseService returns the service that a request calls. The header Shelf-Service
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -63,13 +63,21 @@
 		return r.writeFailure(c, refusal)
 	}
 	var err error
-	if call.Body, err = caller.NewBody(req.Body); err != nil {
+	if call.Body, err = gateway.OpenBody(c); err != nil {
 		// The caller closed the connection or sent an incomplete body. Nobody would
 		// read an answer.
 		panic(http.ErrAbortHandler)
 	}
+	defer call.Body.Close()
 	answer := r.config.Dispatcher.Dispatch(req.Context(), call)
 	defer answer.Close()
+	err = r.writeAnswer(c, call, answer)
+	gateway.FinishBody(c, call.Body)
+	return err
+}
+
+// writeAnswer writes any answer to a call.
+func (r *receiver) writeAnswer(c echo.Context, call *caller.Call, answer *caller.Answer) error {
 	if answer.Outcome == caller.Answered {
 		h := c.Response().Header()
 		h.Set(r.config.Dialect.RequestID, call.RequestID)
--- a/internal/connection/receiver/receiver_test.go
+++ b/internal/connection/receiver/receiver_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/laburnumshelf/laburnumshelf/internal/connection/gateway"
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/labeler"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
@@ -45,8 +46,12 @@
 }
 
 func handler(c *fakeDispatcher, current func() *describer.Settings) http.Handler {
+	return handlerFor(c, current)
+}
+
+func handlerFor(dispatcher gateway.Dispatcher, current func() *describer.Settings) http.Handler {
 	return New(Config{
-		Dispatcher: c,
+		Dispatcher: dispatcher,
 		Dialect: labeler.Dialect{
 			RequestID:     "Id",
 			Proof:         "Proof",
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -9,7 +9,6 @@
 package caller
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -300,60 +299,3 @@
 type Backend interface {
 	Do(ctx context.Context, call *Call) (*Answer, error)
 }
-
-// Body is a request body whose beginning is buffered for further attempts.
-type Body struct {
-	buffered []byte
-	rest     io.Reader
-}
-
-// MaxBufferedBodyBytes is the size of the buffer for the beginning of a request body. A
-// body that fills the buffer cannot be sent again.
-const MaxBufferedBodyBytes = 64 << 10
-
-// NewBody returns a Body that reads from r. It reads up to MaxBufferedBodyBytes
-// of r before it returns.
-func NewBody(r io.Reader) (*Body, error) {
-	if r == nil || r == http.NoBody {
-		return &Body{}, nil
-	}
-	buffered, err := io.ReadAll(io.LimitReader(r, MaxBufferedBodyBytes))
-	if err != nil {
-		return nil, err
-	}
-	body := &Body{
-		buffered: buffered,
-	}
-	if len(buffered) == MaxBufferedBodyBytes {
-		body.rest = r
-	}
-	return body, nil
-}
-
-// Replayable reports whether the whole body is buffered, so that Reader can be
-// called more than once.
-func (b *Body) Replayable() bool {
-	return b == nil || b.rest == nil
-}
-
-// Size returns the body's size in bytes, or -1 if it is not known.
-func (b *Body) Size() int64 {
-	if b == nil {
-		return 0
-	}
-	if b.rest != nil {
-		return -1
-	}
-	return int64(len(b.buffered))
-}
-
-// Reader returns a reader of the whole body, from its beginning.
-func (b *Body) Reader() io.Reader {
-	if b == nil {
-		return bytes.NewReader(nil)
-	}
-	if b.rest == nil {
-		return bytes.NewReader(b.buffered)
-	}
-	return io.MultiReader(bytes.NewReader(b.buffered), b.rest)
-}
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -203,7 +203,10 @@
 	call.Attempt = o.attemptCount
 	call.Charged = o.call.Charged || o.mayHaveRun
 	call.Zone = o.d.config.Zone
-	call.ResolveOnly = o.resolveCount > 0
+	if o.resolveCount > 0 {
+		call.ResolveOnly = true
+		call.Body = nil
+	}
 	call.Instance = o.member.GetBackend().GetId()
 	call.LoadAge = o.loadAge
 	call.Allowance = o.lendAllowance()
@@ -362,9 +365,6 @@
 // allowRetry reports whether the call may be attempted again, given the last answer. If
 // the new attempt would be a repeat, it also takes one repeat from the repeat budget.
 func (o *outboundCall) allowRetry(answer *caller.Answer) bool {
-	if !o.call.Body.Replayable() && o.attemptCount > 0 {
-		return false
-	}
 	if o.call.MaxTargets > 0 && (answer.ReachedBackend || answer.Outcome != caller.NotRun) {
 		if !o.spendRepeat(answer) {
 			return false
@@ -390,8 +390,12 @@
 }
 
 // spendRetry takes one retry from the allowance and the retry budget, and reports
-// whether both permit it. If not, it returns the reason for the refusal.
+// whether both permit it. If not, it returns the reason for the refusal. It never permits
+// a retry if the beginning of the request body is no longer kept.
 func (o *outboundCall) spendRetry(reason caller.Reason) (bool, caller.Reason) {
+	if !o.call.Body.Replayable() {
+		return false, reason
+	}
 	if !o.pool.Spend() {
 		o.d.record(o.call, recorder.Refuse, caller.ReasonAllowance, caller.NotRun, "", 0)
 		return false, caller.ReasonAllowance
