Keep the known start time of a deregistered backend server

Cause: a deregistration without a start time replaced the stored one by zero, so heartbeats of the ended start were accepted later. Change: the stored start time only rises. Result: TestDeregistrationWithoutStartTimeKeepsTheKnownOne got 'taken', now 'late'.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -187,7 +187,7 @@
 	if born.IsZero() && id == r.current.ID {
 		born = r.current.Born
 	}
-	if r.deregistered[id].Before(born) || born.IsZero() {
+	if known, ok := r.deregistered[id]; !ok || known.Before(born) {
 		r.deregistered[id] = born
 	}
 	if id != r.current.ID || born.Before(r.current.Born) {
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -123,3 +123,18 @@
 		t.Errorf("heartbeat of the next start: got %s, want taken", got)
 	}
 }
+
+// TestDeregistrationWithoutStartTimeKeepsTheKnownOne deregisters a server twice, the second
+// time without a start time and after another server has registered. Heartbeats of the
+// first server's ended start must still be late.
+func TestDeregistrationWithoutStartTimeKeepsTheKnownOne(t *testing.T) {
+	r := newRegistrar()
+	r.Heartbeat(start, heartbeat("a", time.Second, 1, Ready))
+	r.Deregister("a", start.Add(time.Second))
+	r.Heartbeat(start, heartbeat("b", 2*time.Second, 1, Ready))
+	r.Deregister("a", time.Time{})
+	later := start.Add(time.Minute)
+	if got := r.Heartbeat(later, heartbeat("a", time.Second, 2, Ready)); got != Late {
+		t.Errorf("heartbeat of the deregistered start: got %s, want late", got)
+	}
+}
