Do not count a broken request body as overload

Cause: isOverloadError counted a body that its caller broke off as an overload of the backend server and lowered its limit. Change: errors marked ErrRequestBody are no overload.

--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -284,9 +284,12 @@
 }
 
 // isOverloadError reports whether the error of a failed run counts as overload. Every
-// error does, unless the context of the run has ended; an error marked ErrNotSent
-// counts even then.
+// error does, unless the caller broke off its request body or the context of the run has
+// ended; an error marked ErrNotSent counts even then.
 func isOverloadError(ctx context.Context, err error) bool {
+	if errors.Is(err, caller.ErrRequestBody) {
+		return false
+	}
 	return errors.Is(err, caller.ErrNotSent) || ctx.Err() == nil
 }
 
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -109,3 +109,22 @@
 		}
 	}
 }
+
+// TestBrokenRequestBodiesDoNotLowerTheLimit runs calls whose callers break their request
+// bodies off. The backend server is not overloaded by that, so its limit must stay.
+func TestBrokenRequestBodiesDoNotLowerTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{
+			delay: 10 * time.Millisecond,
+		}
+		e := newExecutor(b)
+		want := e.Load().Limit
+		b.err = errors.Mark(errors.New("body ended early"), caller.ErrRequestBody)
+		for i := range 50 {
+			execute(e, fmt.Sprint("a", i), time.Second)
+		}
+		if got := e.Load().Limit; got != want {
+			t.Errorf("got limit %d after broken request bodies, want %d", got, want)
+		}
+	})
+}
