Match hosts of several teams in a fixed order

Cause: MatchHost ranged over a map, so nodes chose different routes for a host that two teams list. Change: the longest prefix of all teams matches, for equal ones the first team.

--- a/internal/version/describer/describer.go
+++ b/internal/version/describer/describer.go
@@ -226,14 +226,23 @@
 }
 
 // MatchHost returns the route for a request to a host. It reports whether a
-// route matches.
+// route matches. If several teams list the host, the longest path prefix decides,
+// and for equal prefixes the first team by name.
 func (s *Settings) MatchHost(host, path string) (HostRoute, bool) {
-	for _, table := range s.Hosts {
-		if route, ok := table.Match(host, path); ok {
-			return route, true
+	var best HostRoute
+	var bestTeam string
+	found := false
+	for team, table := range s.Hosts {
+		route, ok := table.Match(host, path)
+		if !ok {
+			continue
+		}
+		longer := len(route.Path) > len(best.Path)
+		if !found || longer || (len(route.Path) == len(best.Path) && team < bestTeam) {
+			best, bestTeam, found = route, team, true
 		}
 	}
-	return HostRoute{}, false
+	return best, found
 }
 
 // Service returns the settings of the named service, or the defaults if it has
