Remove expired tokens behind a call that still runs

Cause: removeExpired stopped at the first expired entry whose call still ran, so one long call kept all later tokens. Change: such an entry leaves the heap and returns when its call ends. The unused field Entry.index is gone.

--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -103,8 +103,9 @@
 	done      chan struct{}
 	answer    StoredAnswer
 	successor *encoder.Token
-	// index is the position in the table's expiryHeap. Nothing reads it.
-	index int
+	// overdue reports whether the token expired while the call was running. The entry
+	// is then not in the table's expiryHeap until the call ends.
+	overdue bool
 }
 
 // Done returns a channel that is closed when the call ends.
@@ -208,8 +209,7 @@
 		entry.successor = successor
 	}
 	if entry.state == running {
-		entry.state = refused
-		close(entry.done)
+		t.end(entry, refused)
 	}
 }
 
@@ -218,20 +218,29 @@
 	if entry.state != running {
 		return
 	}
-	entry.state = finished
 	entry.answer = answer
+	t.end(entry, finished)
+}
+
+// end ends a running call.
+func (t *Table) end(entry *Entry, state state) {
+	entry.state = state
 	close(entry.done)
+	if entry.overdue {
+		entry.overdue = false
+		heap.Push(&t.byExpiry, entry)
+	}
 }
 
-// removeExpired removes expired entries in the order of expiry, up to the first
-// one whose call is still running.
+// removeExpired removes expired entries. An entry whose call is still running stays until
+// the call has ended.
 func (t *Table) removeExpired(now time.Time) {
-	for len(t.byExpiry) > 0 {
-		entry := t.byExpiry[0]
-		if entry.expires.After(now) || entry.state == running {
-			return
+	for len(t.byExpiry) > 0 && !t.byExpiry[0].expires.After(now) {
+		entry := heap.Pop(&t.byExpiry).(*Entry)
+		if entry.state == running {
+			entry.overdue = true
+			continue
 		}
-		heap.Pop(&t.byExpiry)
 		delete(t.entries, entry.id)
 		if entry.expires.After(t.latestRemovedExpiry) {
 			t.latestRemovedExpiry = entry.expires
@@ -280,17 +289,11 @@
 
 func (h expiryHeap) Len() int           { return len(h) }
 func (h expiryHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
 func (h *expiryHeap) Push(x any) {
-	entry := x.(*Entry)
-	entry.index = len(*h)
-	*h = append(*h, entry)
+	*h = append(*h, x.(*Entry))
 }
 
 // Pop implements heap.Interface.
