Start restarted backend servers slowly

Cause: the slow start began with the node. A backend server that restarted under a living node got full load at once, and a restart of the node alone slowed a warm server. Change: the start time of a server that registers is its own. Result: TestRestartedBackendServerRampsUpSlowly fails both ways before, passes now.

--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -169,10 +169,19 @@
 		a.GetBackend().GetBornUnixMilli() == b.GetBackend().GetBornUnixMilli()
 }
 
+// startTimeOf returns when the backend server of a member started. If the server does not
+// register, that is when its node started.
+func startTimeOf(member *encoder.Member) time.Time {
+	if born := member.GetBackend().GetBornUnixMilli(); born > 0 {
+		return time.UnixMilli(born)
+	}
+	return time.Unix(0, int64(member.GetIncarnation()))
+}
+
 func (r *Router) add(now time.Time, member *encoder.Member) {
 	target := &Target{
 		Member:    member,
-		startTime: time.Unix(0, int64(member.GetIncarnation())),
+		startTime: startTimeOf(member),
 	}
 	if target.startTime.After(now) {
 		target.startTime = now
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -167,6 +167,34 @@
 	}
 }
 
+// TestRestartedBackendServerRampsUpSlowly restarts a backend server whose node goes on. The
+// new server is cold. A restart of the node alone leaves its server warm.
+func TestRestartedBackendServerRampsUpSlowly(t *testing.T) {
+	now := start.Add(time.Minute)
+	for _, test := range []struct {
+		name        string
+		incarnation time.Time
+		born        time.Time
+		want        string
+	}{
+		{"server restarted", start.Add(-time.Hour), now, "t0"},
+		{"node restarted", now, start.Add(-time.Hour), "t1"},
+	} {
+		r := newRouter(sameZonePlace, sameZonePlace)
+		restarted := memberAt(1, sameZonePlace)
+		restarted.Incarnation = uint64(test.incarnation.UnixNano())
+		restarted.Backend = &encoder.Backend{
+			Id:            "b",
+			BornUnixMilli: test.born.UnixMilli(),
+		}
+		r.Update(now, restarted)
+		recordLoad(r, now, "t0", caller.Load{InFlight: 4, Limit: 10})
+		if got := countChoices(r, now, 100, Constraints{}); got[test.want] != 100 {
+			t.Errorf("%s: got %v, want all to %s", test.name, got, test.want)
+		}
+	}
+}
+
 func TestRestartedTargetStartsAfresh(t *testing.T) {
 	r := newRouter(sameZonePlace)
 	r.RecordStart(start, r.Target("t0"))
--- a/internal/request/router/target.go
+++ b/internal/request/router/target.go
@@ -26,8 +26,8 @@
 	consecutiveFailures  int
 	consecutiveEjections int
 	ejectedUntil         time.Time
-	// startTime is when the incarnation of the target's node began, or when the router
-	// learned of it if that is earlier.
+	// startTime is when the target's backend server started, or when the router learned
+	// of it if that is earlier.
 	startTime time.Time
 }
 
