Let a large body leave a region that has no target

Cause: a body too large to buffer never left its region, so uploads of a region whose targets are all gone were refused although others had room. Change: the region is left when it has no target for the call. Result: TestLargeBodyLeavesRegionWithoutTarget got noTarget, now the answer of the other region.

--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -309,12 +309,7 @@
 		Exclude:     o.tried,
 		CrossRegion: o.settings.CrossRegion != describer.CrossNever,
 	}
-	if o.call.Body.Size() < 0 {
-		// A body too large to buffer is never sent to another region, even if this
-		// region has no target.
-		constraints.CrossRegion = false
-	}
-	target, reason := o.d.router.Choose(now, o.call.Service, constraints)
+	target, reason := o.chooseForBody(now, constraints)
 	if target == nil && len(o.tried) > 0 && o.attemptCount < maxAttempts {
 		constraints.Exclude = nil
 		target, reason = o.d.router.Choose(now, o.call.Service, constraints)
@@ -329,6 +324,19 @@
 	return target, reason
 }
 
+// chooseForBody returns a target within the constraints. A large body stays in its own
+// region as long as that has a target. The caller must hold o.d.mu.
+func (o *outboundCall) chooseForBody(now time.Time, constraints router.Constraints) (*router.Target, caller.Reason) {
+	if o.call.Body.Size() < 0 {
+		nearby := constraints
+		nearby.CrossRegion = false
+		if target, reason := o.d.router.Choose(now, o.call.Service, nearby); target != nil {
+			return target, reason
+		}
+	}
+	return o.d.router.Choose(now, o.call.Service, constraints)
+}
+
 // allowCrossRegion reports whether the call may be sent to the target. For a target
 // in another region, it charges the size of the body to the rate limit of the team.
 // The caller must hold o.d.mu.
--- a/internal/request/dispatcher/body_test.go
+++ b/internal/request/dispatcher/body_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
 // TestRetriedUploadSendsTheWholeBody refuses the first attempt of an upload while its body
@@ -55,6 +56,53 @@
 	}
 }
 
+// TestLargeBodyLeavesRegionWithoutTarget sends a large body while its own region has a
+// target, and after that target is gone.
+func TestLargeBodyLeavesRegionWithoutTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sentTo string
+		d := newTestDispatcher(t, func(_ context.Context, target string, _ *caller.Call) (*caller.Answer, error) {
+			sentTo = target
+			return answered(200, 0), nil
+		})
+		for _, id := range []string{"n-1", "n-2"} {
+			d.Update(&encoder.Member{
+				Id:      id,
+				State:   encoder.MemberState_DEAD,
+				Team:    shop.Team,
+				Service: shop.Name,
+			})
+		}
+		near := &encoder.Member{
+			Id:      "near",
+			Team:    shop.Team,
+			Service: shop.Name,
+			Slots:   10,
+		}
+		d.Update(near)
+		d.Update(&encoder.Member{
+			Id:      "far",
+			Region:  "elsewhere",
+			Team:    shop.Team,
+			Service: shop.Name,
+			Slots:   10,
+		})
+		send := func() *caller.Answer {
+			call := request("r-1")
+			call.Body, _ = caller.NewBody(bytes.NewReader(make([]byte, 2*caller.PrefetchBytes)))
+			return d.Dispatch(context.Background(), call)
+		}
+		if send(); sentTo != "near" {
+			t.Errorf("with a target nearby: sent to %q, want near", sentTo)
+		}
+		near.State = encoder.MemberState_DEAD
+		d.Update(near)
+		if answer := send(); answer.Outcome != caller.Answered || sentTo != "far" {
+			t.Errorf("without a target nearby: got outcome %v with reason %v, want an answer of far", answer.Outcome, answer.Reason)
+		}
+	})
+}
+
 // TestResolveQueriesCarryNoBody loses the answer to an upload. The queries for its outcome
 // must not send the body again.
 func TestResolveQueriesCarryNoBody(t *testing.T) {
