Move the log's interface beside the wire format and its stand-in to replay

Two folders under internal/ were named for the users' platform, and version/ imported upward from one of them. The interface is internal/wire/logclient now, the stand-in internal/replay/logserver. The unread counter Measurements.Tries is gone. No change of behavior.

--- a/cmd/laburnumshelf/main_test.go
+++ b/cmd/laburnumshelf/main_test.go
@@ -18,7 +18,7 @@
 	"testing"
 	"time"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logserver"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/logserver"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/publisher"
 )
 
--- a/internal/cli/commander/client.go
+++ b/internal/cli/commander/client.go
@@ -12,8 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/administrator"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 	"github.com/laburnumshelf/laburnumshelf/platform"
 )
 
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -14,9 +14,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/parser"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/publisher"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 )
 
 // Exit codes of the commands.
--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -24,9 +24,9 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/gossiper"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 )
 
 // MembersTable is the name of the table in the platform's store that holds the
--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logserver"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/logserver"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 	"github.com/laburnumshelf/laburnumshelf/platform"
 )
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -11,7 +11,6 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/forwarder"
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/labeler"
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/receiver"
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/enroller"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/registrar"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
@@ -19,6 +18,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/watcher"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 	"github.com/laburnumshelf/laburnumshelf/platform"
 )
 
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -26,7 +26,6 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/dialer"
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/forwarder"
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/gateway"
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/administrator"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/announcer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
@@ -42,6 +41,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/watcher"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 	"github.com/laburnumshelf/laburnumshelf/platform"
 )
 
--- a/internal/process/synchronizer/synchronizer.go
+++ b/internal/process/synchronizer/synchronizer.go
@@ -19,9 +19,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 )
 
 // Synchronization parameters.
--- a/internal/replay/driver/driver.go
+++ b/internal/replay/driver/driver.go
@@ -93,8 +93,6 @@
 type Measurements struct {
 	Streams []StreamCounts
 	Buckets []Bucket
-	// Tries is the number of tries of all clients, resends included.
-	Tries int
 	// WrongAnswers counts answers with status 200 that were truncated or belonged
 	// to another request.
 	WrongAnswers int
@@ -321,9 +319,6 @@
 func (c client) try(ctx context.Context, token string) Result {
 	ctx, cancel := context.WithTimeout(ctx, c.arrival.Timeout)
 	defer cancel()
-	c.run.mu.Lock()
-	c.run.measurements.Tries++
-	c.run.mu.Unlock()
 	return c.run.fleet.Do(ctx, Request{
 		ID:      c.id,
 		Region:  c.region,
--- a/internal/platform/logserver/handler.go
+++ b/internal/replay/logserver/handler.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 	"github.com/laburnumshelf/laburnumshelf/platform"
 )
 
--- a/internal/platform/logserver/logserver.go
+++ b/internal/replay/logserver/logserver.go
@@ -16,7 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 )
 
 // Retention limits the records that a topic retains. A zero field means no limit.
--- a/internal/replay/player/cmd_log.go
+++ b/internal/replay/player/cmd_log.go
@@ -7,7 +7,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logserver"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/logserver"
 )
 
 var logCommand = command{
--- a/internal/replay/spawner/spawner.go
+++ b/internal/replay/spawner/spawner.go
@@ -23,9 +23,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logserver"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/administrator"
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/driver"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/logserver"
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/responder"
 	"github.com/laburnumshelf/laburnumshelf/internal/replay/tracer"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/publisher"
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -22,9 +22,9 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/checker"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 )
 
 // Stream is the name of the settings stream on the platform's log.
--- a/internal/version/follower/follower_test.go
+++ b/internal/version/follower/follower_test.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logserver"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/logserver"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
--- a/internal/version/publisher/publisher.go
+++ b/internal/version/publisher/publisher.go
@@ -22,9 +22,9 @@
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 )
 
 // ErrRejected marks a change that was rejected, for example because another
--- a/internal/version/publisher/publisher_test.go
+++ b/internal/version/publisher/publisher_test.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logserver"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/logserver"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
 )
--- a/internal/version/watcher/watcher.go
+++ b/internal/version/watcher/watcher.go
@@ -17,8 +17,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logclient"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/checker"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 )
 
 // Watch parameters.
--- a/internal/version/watcher/watcher_test.go
+++ b/internal/version/watcher/watcher_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/laburnumshelf/laburnumshelf/internal/platform/logserver"
+	"github.com/laburnumshelf/laburnumshelf/internal/replay/logserver"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/follower"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/watcher"
 	"github.com/laburnumshelf/laburnumshelf/platform"
