Bound what a backend server sends in place of an answer

Cause: the parser of answers buffers a head of any size, and interim answers, answers to other requests and refusals were skipped without end. Without a Proof header, an answer with the ID of another request was given to the next caller on the connection.

Change: a head may have 64 KiB, a skipped body 1 MiB, and at most 16 answers are skipped; then the connection is closed. An answer with another request ID is skipped also where backend servers need not repeat the ID.

--- a/internal/connection/forwarder/conn.go
+++ b/internal/connection/forwarder/conn.go
@@ -32,6 +32,8 @@
 	net.Conn
 	pool   *pool
 	reader *bufio.Reader
+	// head is the source of reader.
+	head *headReader
 	// usableUntil is the time until which the idle connection may be reused.
 	usableUntil time.Time
 }
@@ -90,14 +92,16 @@
 	return writer.Flush()
 }
 
-// receive reads answers until check accepts one. It skips interim answers (1xx) and
-// answers to other requests.
+// receive reads answers until check accepts one. It skips a limited number of interim
+// answers (1xx) and answers to other requests.
 func (c *conn) receive(req *http.Request, check func(*http.Response) error) (*http.Response, error) {
-	for {
+	for range maxSkippedAnswers + 1 {
+		c.head.startHead()
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
+		c.head.endHead()
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
@@ -108,10 +112,11 @@
 		if !errors.Is(err, errOtherRequest) {
 			return nil, err
 		}
-		if _, copyErr := io.Copy(io.Discard, resp.Body); copyErr != nil || resp.Close {
+		if !skipBody(resp.Body) || resp.Close {
 			return nil, err
 		}
 	}
+	return nil, errTooManySkipped
 }
 
 // discard closes the connection and frees its slot in the pool.
--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -146,16 +146,20 @@
 
 // checkAnswer returns an error if resp has another request ID than call, or has a
 // success status but no Proof header or an encoded body. It does not verify the
-// signature in the Proof header. It accepts every answer if the dialect has no Proof
-// header.
+// signature in the Proof header. If the dialect has no Proof header, it also accepts an
+// answer without a request ID.
 func (f *Forwarder) checkAnswer(resp *http.Response, call *caller.Call) error {
 	dialect := f.config.Dialect
-	if dialect.Proof == "" {
+	id := resp.Header.Get(dialect.RequestID)
+	if dialect.Proof == "" && id == "" {
 		return nil
 	}
-	if id := resp.Header.Get(dialect.RequestID); id != call.RequestID {
+	if id != call.RequestID {
 		return errors.Wrapf(errOtherRequest, "request ID %q", id)
 	}
+	if dialect.Proof == "" {
+		return nil
+	}
 	success := resp.StatusCode/100 == 2
 	if success && (resp.Header.Get(dialect.Proof) == "" || resp.Header.Get("Content-Encoding") != "") {
 		return errors.Newf("answer with status %d is not the backend server's own: header %s is missing or the body is encoded", resp.StatusCode, dialect.Proof)
@@ -173,7 +177,7 @@
 	}
 	if isRefusal := f.config.Dialect.IsRefusal; isRefusal != nil && isRefusal(resp.StatusCode, resp.Header) {
 		// If the body was read to its end, closing it returns the connection to the pool.
-		io.Copy(io.Discard, resp.Body)
+		skipBody(resp.Body)
 		resp.Body.Close()
 		answer.Body = nil
 		answer.Outcome = caller.NotRun
--- a/internal/connection/forwarder/pool.go
+++ b/internal/connection/forwarder/pool.go
@@ -62,10 +62,14 @@
 		p.releaseSlot()
 		return nil, err
 	}
+	head := &headReader{
+		source: opened,
+	}
 	return &conn{
 		Conn:   opened,
 		pool:   p,
-		reader: bufio.NewReaderSize(opened, bufferBytes),
+		reader: bufio.NewReaderSize(head, bufferBytes),
+		head:   head,
 	}, nil
 }
 
