Let two nodes of each region read the settings for all of it

Cause: every node kept a read of the operator's settings open, so each version went from the store to each node, two thirds of them over the links between regions, and every failed read was followed by one of everything.

Change: the first two nodes of a region by hash that are alive and reach the store read; a node whose reads fail says so in its announcement, and the next one takes over. The others get versions by gossip, from their own region first, and read themselves every 30 s, when they hear of a version that no member gives them, or when no packet of another member arrives for a second. A document carries its position in the operator's table, so that a node goes on after what it got from another.

--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -70,6 +70,8 @@
 	// packets and bytes count what was sent.
 	packets int64
 	bytes   int64
+	// lastReceived is the time of the last valid packet.
+	lastReceived time.Time
 }
 
 // New returns an Announcer that knows only its own node and the contacts.
@@ -99,6 +101,13 @@
 	return a.packets, a.bytes
 }
 
+// Silence returns the time since another member's last packet.
+func (a *Announcer) Silence() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Since(a.lastReceived)
+}
+
 // Leave announces that the node accepts no new work.
 func (a *Announcer) Leave() {
 	a.mu.Lock()
@@ -114,6 +123,14 @@
 	})
 }
 
+// SetStoreLost announces whether this node's reads of the operator's settings fail.
+func (a *Announcer) SetStoreLost(lost bool) {
+	a.applyEvent(func(table *gossiper.Table) []gossiper.Outgoing {
+		table.SetStoreLost(time.Now(), lost)
+		return nil
+	})
+}
+
 // SetVersion announces the settings version in force at this node.
 func (a *Announcer) SetVersion(version int64) {
 	a.mu.Lock()
@@ -182,7 +199,8 @@
 			continue
 		}
 		a.applyEvent(func(table *gossiper.Table) []gossiper.Outgoing {
-			return table.Receive(time.Now(), packet)
+			a.lastReceived = time.Now()
+			return table.Receive(a.lastReceived, packet)
 		})
 		a.config.OnVersion(int64(packet.GetSettingsVersion()), packet.GetSender())
 	}
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -231,6 +231,13 @@
 	t.announce(now, t.self.member.GetState())
 }
 
+// SetStoreLost announces whether this node's reads of the operator's settings fail.
+func (t *Table) SetStoreLost(now time.Time, lost bool) {
+	t.self.member = proto.Clone(t.self.member).(*encoder.Member)
+	t.self.member.StoreLost = lost
+	t.announce(now, t.self.member.GetState())
+}
+
 // SetVersion announces the settings version in force at this node. A version
 // that is not higher than the announced one is ignored.
 func (t *Table) SetVersion(version int64) {
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -123,9 +123,15 @@
 		Version: func() int64 {
 			return n.follower.State().Version
 		},
-		OnVersion:         n.synchronizer.ReportVersion,
-		HasFrequentReader: n.hasFrequentReader,
-		Log:               n.log,
+		Position: func() int64 {
+			return n.follower.State().Position()
+		},
+		OnAvailability: func(available bool) {
+			n.announcer.SetStoreLost(!available)
+		},
+		OnVersion: n.synchronizer.ReportVersion,
+		HasReader: n.hasSettingsReader,
+		Log:       n.log,
 	})
 	n.enroller = enroller.New(enroller.Config{
 		Protocol: enroller.Protocol{
@@ -152,11 +158,14 @@
 	return n.dispatcher
 }
 
-// hasFrequentReader reports whether another node of the availability zone reads the
-// operator's settings with short waits. This node then learns of a new version by
-// gossip and waits longer itself.
-func (n *Node) hasFrequentReader() bool {
-	return n.synchronizer.ZoneRank() > 0
+// maxGossipSilence is the time without a packet of another member after which a node reads
+// the operator's settings itself.
+const maxGossipSilence = time.Second
+
+// hasSettingsReader reports whether other nodes of the region read the operator's settings
+// and are in contact with this node, which then learns of new versions by gossip.
+func (n *Node) hasSettingsReader() bool {
+	return n.announcer.Silence() < maxGossipSilence && n.synchronizer.HasReader()
 }
 
 // addPlatformActors adds the servers and loops that run only on the users' platform.
--- a/internal/process/synchronizer/synchronizer.go
+++ b/internal/process/synchronizer/synchronizer.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -33,6 +32,12 @@
 	// fallbackPeriod is the mean time between two reads by the other nodes.
 	fallbackPeriod = time.Minute
 	requestTimeout = 5 * time.Second
+	// fetchTimeout limits the time to get a version from one member, so that another
+	// one can be asked before the version must be in force.
+	fetchTimeout = 700 * time.Millisecond
+	// maxBehind is how long a node may know of a newer version without having it
+	// before it no longer relies on other nodes.
+	maxBehind = 500 * time.Millisecond
 	// maxSnapshotDelay limits the random delay before a snapshot is written. The
 	// delay lets one of the readers write it before the others start.
 	maxSnapshotDelay = 20 * time.Second
@@ -61,6 +66,9 @@
 type Synchronizer struct {
 	config        Config
 	announcements chan announcement
+	// behindSince is when the node learned of a version that it does not have yet, as
+	// Unix time in nanoseconds, or 0.
+	behindSince atomic.Int64
 	// snapshotting is set while a snapshot is scheduled or being written.
 	snapshotting atomic.Bool
 }
@@ -80,6 +88,7 @@
 	if version <= s.config.Follower.State().Version {
 		return
 	}
+	s.behindSince.CompareAndSwap(0, time.Now().UnixNano())
 	select {
 	case s.announcements <- announcement{
 		version: version,
@@ -117,30 +126,6 @@
 	return fallbackPeriod/2 + rand.N(fallbackPeriod)
 }
 
-// IsLogReader reports whether this node is one of the readersPerZone members of
-// its availability zone that read the log often.
-func (s *Synchronizer) IsLogReader() bool {
-	return s.ZoneRank() < readersPerZone
-}
-
-// ZoneRank returns the number of alive members in this node's availability zone
-// whose ID has a lower hash. Tasks that only a few members do for all of the zone
-// go to the members with the lowest ranks.
-func (s *Synchronizer) ZoneRank() int {
-	self := s.config.Self
-	own := xxhash.Sum64String(self.GetId())
-	lower := 0
-	for _, member := range s.config.Members() {
-		if member.GetZone() != self.GetZone() || member.GetRegion() != self.GetRegion() || member.GetState() != encoder.MemberState_ALIVE {
-			continue
-		}
-		if xxhash.Sum64String(member.GetId()) < own {
-			lower++
-		}
-	}
-	return lower
-}
-
 // poll reads the log to its end. A log reader also schedules a snapshot if one is
 // due.
 func (s *Synchronizer) poll(ctx context.Context) {
@@ -165,25 +150,34 @@
 	}
 }
 
-// fetchAnnounced fetches a newer version from the member that announced it. If that
-// fails, it reads the log.
+// fetchAnnounced fetches a newer version from a member. If no member has it, it reads the
+// log.
 func (s *Synchronizer) fetchAnnounced(ctx context.Context, a announcement) {
-	before := s.config.Follower.State().Version
-	if a.version <= before {
-		return
+	for _, member := range s.sources(a) {
+		if s.config.Follower.State().Version >= a.version {
+			return
+		}
+		s.fetch(ctx, member)
 	}
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	if s.config.Follower.State().Version < a.version {
+		s.poll(ctx)
+	}
+}
+
+// fetch merges the settings of a member.
+func (s *Synchronizer) fetch(ctx context.Context, member *encoder.Member) {
+	before := s.config.Follower.State().Version
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	snapshot, err := s.config.Fetch(ctx, a.member, before)
+	snapshot, err := s.config.Fetch(ctx, member, before)
 	if err == nil {
 		err = s.config.Follower.Merge(snapshot)
 	}
 	if err != nil {
-		s.config.Log.WithError(err).WithField("member", a.member.GetId()).Warn("cannot get settings from member; reading the log")
-		s.poll(ctx)
+		s.config.Log.WithError(err).WithField("member", member.GetId()).Warn("cannot get settings from member")
 		return
 	}
-	s.reportIfNewer(before, a.member.GetId())
+	s.reportIfNewer(before, member.GetId())
 }
 
 // reportIfNewer reports the version in force if it is newer than before.
@@ -199,6 +193,7 @@
 		"version": version,
 		"source":  source,
 	}).Info("settings in force")
+	s.behindSince.Store(0)
 	s.config.OnVersion(version)
 }
 
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -99,11 +99,11 @@
 
 // ApplyDocument applies a document that its source has already accepted as the
 // given version. It has no effect if the version is not newer than the one in
-// force.
-func (f *Follower) ApplyDocument(version int64, path checker.Path, content []byte) error {
+// force. position is the offset after the document's record.
+func (f *Follower) ApplyDocument(version int64, path checker.Path, content []byte, position int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next, err := f.state.ApplyDocument(version, path, content)
+	next, err := f.state.ApplyDocument(version, path, content, position)
 	if err != nil {
 		return err
 	}
--- a/internal/version/follower/state.go
+++ b/internal/version/follower/state.go
@@ -141,10 +141,29 @@
 	}
 }
 
+// Size returns the size of all documents in bytes.
+func (s State) Size() int {
+	size := 0
+	for _, document := range s.documents {
+		size += len(document.GetContent())
+	}
+	return size
+}
+
+// Position returns the highest position in the operator's table of all documents, or 0 if
+// none comes from there.
+func (s State) Position() int64 {
+	highest := int64(0)
+	for _, document := range s.documents {
+		highest = max(highest, document.GetPosition())
+	}
+	return highest
+}
+
 // ApplyDocument returns the state after a document that its source has already
-// accepted as the given version. If the version is not newer than s.Version, it
-// returns s.
-func (s State) ApplyDocument(version int64, path checker.Path, content []byte) (State, error) {
+// accepted as the given version. position is the offset after its record. If the version
+// is not newer than s.Version, it returns s.
+func (s State) ApplyDocument(version int64, path checker.Path, content []byte, position int64) (State, error) {
 	if version <= s.Version {
 		return s, nil
 	}
@@ -152,9 +171,10 @@
 		Covers: version,
 		Base:   s.Version,
 		Documents: []*encoder.Document{{
-			Path:    path.String(),
-			Version: version,
-			Content: content,
+			Path:     path.String(),
+			Version:  version,
+			Content:  content,
+			Position: position,
 		}},
 	})
 }
--- a/internal/version/watcher/watcher.go
+++ b/internal/version/watcher/watcher.go
@@ -23,16 +23,18 @@
 
 // Watch parameters.
 const (
-	// shortWait is the maximum time that the store holds a read open until a
+	// readWait is the maximum time that the store holds a read open until a
 	// change arrives. If the connection stops responding, the read times out
-	// after shortWait + waitMargin. This is less than the two seconds within
+	// after readWait + waitMargin. This is less than the two seconds within
 	// which a change must be in force.
-	shortWait  = time.Second
+	readWait   = time.Second
 	waitMargin = 500 * time.Millisecond
-	// longWait replaces shortWait while another node of the availability zone
-	// reads with shortWait and announces new versions. It saves reads, because
-	// each read of the store has a cost.
-	longWait = 8 * time.Second
+	// standbyPeriod is the longest time that a watcher leaves the reads to others,
+	// and standbyCheck the time between two checks that it still may. It saves reads,
+	// because each read has a cost, and each read that returns a new version takes it
+	// over the links between regions.
+	standbyPeriod = 30 * time.Second
+	standbyCheck  = 500 * time.Millisecond
 	// newestTimeout is the timeout for a read of the newest documents.
 	newestTimeout = 2 * time.Second
 	// retryBase and retryLimit are the first and the longest backoff after a
@@ -72,16 +74,21 @@
 type Config struct {
 	Source Source
 	// ApplyDocument puts a document in force as the given version.
-	ApplyDocument func(version int64, path checker.Path, content []byte) error
+	ApplyDocument func(version int64, path checker.Path, content []byte, position int64) error
 	// OnVersion is called after a new version has come into force.
 	OnVersion func(version int64, source string)
 	// Version returns the version in force.
 	Version func() int64
-	// HasFrequentReader reports whether another node of the availability zone
-	// reads the source with a short wait and announces new versions. If it is
-	// nil, there is no such node.
-	HasFrequentReader func() bool
-	Log               *logrus.Logger
+	// Position returns the position after the newest document in force, also if that
+	// came from another node, or 0 if it is not known. It may be nil.
+	Position func() int64
+	// OnAvailability is called when reads begin to fail and when one succeeds again.
+	// It may be nil.
+	OnAvailability func(available bool)
+	// HasReader reports whether other nodes read the source, and new versions
+	// arrive from them. If it is nil, there are no such nodes.
+	HasReader func() bool
+	Log       *logrus.Logger
 }
 
 // Watcher follows one source.
@@ -105,6 +112,7 @@
 // Run reads the source and applies its documents until ctx is done.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		w.standBy(ctx)
 		update, err := w.read(ctx)
 		if err != nil {
 			w.handleFailure(ctx, err)
@@ -121,31 +129,61 @@
 // read waits for changes from w.next on. If that position is not known, it reads
 // the newest documents.
 func (w *Watcher) read(ctx context.Context) (Update, error) {
+	w.adoptPosition()
 	if !w.positionKnown {
 		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 		defer cancel()
 		return w.config.Source.Newest(ctx)
 	}
-	wait := shortWait
-	if w.config.HasFrequentReader != nil && w.config.HasFrequentReader() {
-		wait = longWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+waitMargin)
+	ctx, cancel := context.WithTimeout(ctx, readWait+waitMargin)
 	defer cancel()
-	return w.config.Source.Changes(ctx, w.next, wait)
+	return w.config.Source.Changes(ctx, w.next, readWait)
+}
+
+// adoptPosition continues after a document that came from another node.
+func (w *Watcher) adoptPosition() {
+	if w.config.Position == nil {
+		return
+	}
+	if position := w.config.Position(); position > w.next {
+		w.next = position
+		w.positionKnown = true
+	}
+}
+
+// standBy waits while other nodes read the source, for standbyPeriod at most. A watcher
+// without any version in force does not wait.
+func (w *Watcher) standBy(ctx context.Context) {
+	if w.config.HasReader == nil {
+		return
+	}
+	ticker := time.NewTicker(standbyCheck)
+	defer ticker.Stop()
+	for end := time.Now().Add(standbyPeriod); time.Now().Before(end); {
+		if w.config.Version() == 0 || !w.config.HasReader() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // handleFailure records a failed read and waits for an exponential backoff with
-// jitter. If the read failed only because the source no longer retains the changes
-// from w.next on, it returns at once.
+// jitter. The next read continues at the same position. If the read failed only because
+// the source no longer retains the changes from w.next on, handleFailure returns at once,
+// and the next read gets the newest documents.
 func (w *Watcher) handleFailure(ctx context.Context, err error) {
-	w.positionKnown = false
 	if errors.Is(err, logclient.ErrCompacted) {
+		w.positionKnown = false
 		w.config.Log.WithField("from", w.next).Info("store no longer retains the changes from this position on; reading the newest settings")
 		return
 	}
 	if w.failures == 0 && ctx.Err() == nil {
 		w.config.Log.WithError(err).WithField("dependency", "store").Warn("dependency lost")
+		w.reportAvailability(false)
 	}
 	backoff := min(retryBase<<min(w.failures, 8), retryLimit)
 	w.failures++
@@ -162,10 +200,17 @@
 			"dependency": "store",
 			"failures":   w.failures,
 		}).Info("dependency regained")
+		w.reportAvailability(true)
 	}
 	w.failures = 0
 }
 
+func (w *Watcher) reportAvailability(available bool) {
+	if w.config.OnAvailability != nil {
+		w.config.OnAvailability(available)
+	}
+}
+
 // applyUpdate applies the documents that are newer than the version in force.
 func (w *Watcher) applyUpdate(update Update) {
 	for _, finding := range update.Findings {
@@ -176,7 +221,7 @@
 		if document.Version <= before {
 			continue
 		}
-		if err := w.config.ApplyDocument(document.Version, document.Path, document.Content); err != nil {
+		if err := w.config.ApplyDocument(document.Version, document.Path, document.Content, update.Next); err != nil {
 			w.config.Log.WithError(err).WithField("version", document.Version).Warn("settings version not applied")
 			continue
 		}
--- a/internal/version/watcher/watcher_test.go
+++ b/internal/version/watcher/watcher_test.go
@@ -136,3 +136,125 @@
 		}
 	})
 }
+
+// countingSource counts the reads of a source.
+type countingSource struct {
+	watcher.Source
+	newest, changes atomic.Int64
+	// from is the position of the last read of changes.
+	from atomic.Int64
+}
+
+func (c *countingSource) Newest(ctx context.Context) (watcher.Update, error) {
+	c.newest.Add(1)
+	return c.Source.Newest(ctx)
+}
+
+func (c *countingSource) Changes(ctx context.Context, from int64, wait time.Duration) (watcher.Update, error) {
+	c.changes.Add(1)
+	c.from.Store(from)
+	return c.Source.Changes(ctx, from, wait)
+}
+
+// standbyWatch starts a Watcher that relies on other nodes while hasReader is set.
+func standbyWatch(t *testing.T, store *logserver.Store, hasReader *atomic.Bool) (*countingSource, *follower.Follower) {
+	t.Helper()
+	f := follower.New(nil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	source := &countingSource{
+		Source: platform.NewConfigSource(store, "county"),
+	}
+	w := watcher.New(watcher.Config{
+		Source:        source,
+		ApplyDocument: f.ApplyDocument,
+		Version: func() int64 {
+			return f.State().Version
+		},
+		Position: func() int64 {
+			return f.State().Position()
+		},
+		OnVersion: func(int64, string) {},
+		HasReader: hasReader.Load,
+		Log:       log,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		w.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return source, f
+}
+
+// TestWatcherLeavesReadsToOtherNodes counts the reads of a node whose region has readers. It
+// must read at its start and then once in a while, and by itself as soon as the readers
+// are gone.
+func TestWatcherLeavesReadsToOtherNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := logserver.New(logserver.Retention{})
+		put(t, store, "00000001")
+		var hasReader atomic.Bool
+		hasReader.Store(true)
+		source, f := standbyWatch(t, store, &hasReader)
+		time.Sleep(time.Minute)
+		if got := source.newest.Load() + source.changes.Load(); got > 4 || f.State().Version != 1 {
+			t.Errorf("got %d reads in a minute and version %d, want at most 4 and version 1", got, f.State().Version)
+		}
+		hasReader.Store(false)
+		time.Sleep(applyBound)
+		put(t, store, "00000002")
+		time.Sleep(applyBound)
+		if got := f.State().Version; got != 2 {
+			t.Errorf("without readers: got version %d, want 2", got)
+		}
+	})
+}
+
+// TestWatcherContinuesAfterDocumentsOfOtherNodes gives a version to a node through another
+// node. The node's own reads must continue after that version.
+func TestWatcherContinuesAfterDocumentsOfOtherNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := logserver.New(logserver.Retention{})
+		put(t, store, "00000001")
+		var never, standby atomic.Bool
+		standby.Store(true)
+		_, reading := standbyWatch(t, store, &never)
+		source, f := standbyWatch(t, store, &standby)
+		time.Sleep(applyBound)
+		put(t, store, "00000002")
+		time.Sleep(applyBound)
+		if err := f.Merge(reading.State().Snapshot(f.State().Version)); err != nil {
+			t.Fatal(err)
+		}
+		standby.Store(false)
+		time.Sleep(applyBound)
+		if got, want := source.from.Load(), reading.State().Position(); got != want || want == 0 {
+			t.Errorf("got a read from position %d, want %d", got, want)
+		}
+	})
+}
+
+// TestFailedReadsDoNotReadNewestAgain lets reads fail for a while. The documents that are
+// already known must not be read again.
+func TestFailedReadsDoNotReadNewestAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := logserver.New(logserver.Retention{})
+		put(t, store, "00000001")
+		var never atomic.Bool
+		source, _ := standbyWatch(t, store, &never)
+		time.Sleep(applyBound)
+		before := source.newest.Load()
+		store.SetFaults(logserver.Faults{Down: true})
+		time.Sleep(20 * time.Second)
+		store.SetFaults(logserver.Faults{})
+		time.Sleep(applyBound)
+		if got := source.newest.Load() - before; got != 0 {
+			t.Errorf("got %d reads of the newest documents after an outage, want 0", got)
+		}
+	})
+}
