Return memory after large settings, and close sessions at the same time

Sessions are closed at the same time, since a peer that does not read delays the end of its session.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -13,8 +13,10 @@
 	"context"
 	"expvar"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -82,14 +84,23 @@
 	}
 }
 
-// Close closes all sessions and cancels their calls.
+// Close closes all sessions and cancels their calls. It closes the sessions at the same
+// time because a peer that does not read delays the end of its session.
 func (a *Acceptor) Close() {
 	a.cancel()
+	var group sync.WaitGroup
+	for _, session := range a.openSessions() {
+		group.Go(func() {
+			session.Close()
+		})
+	}
+	group.Wait()
+}
+
+func (a *Acceptor) openSessions() []*yamux.Session {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for session := range a.sessions {
-		session.Close()
-	}
+	return slices.Collect(maps.Keys(a.sessions))
 }
 
 func (a *Acceptor) serveConn(conn net.Conn) {
--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -90,11 +90,16 @@
 	}
 }
 
-// Close closes all sessions.
+// Close closes all sessions, at the same time because a peer that does not read delays the
+// end of its session.
 func (d *Dialer) Close() {
+	var group sync.WaitGroup
 	for _, s := range d.stop() {
-		s.Close()
+		group.Go(func() {
+			s.Close()
+		})
 	}
+	group.Wait()
 }
 
 // stop marks the dialer as closed and returns the open sessions.
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/process/announcer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/enroller"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/reclaimer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/synchronizer"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/dispatcher"
@@ -68,6 +70,7 @@
 	follower     *follower.Follower
 	announcer    *announcer.Announcer
 	synchronizer *synchronizer.Synchronizer
+	reclaimer    *reclaimer.Reclaimer
 
 	// watcher and enroller are nil outside the users' platform.
 	watcher  *watcher.Watcher
@@ -103,6 +106,7 @@
 		log:       log,
 		listeners: opened,
 		draining:  make(chan struct{}),
+		reclaimer: reclaimer.New(debug.FreeOSMemory),
 		self: &encoder.Member{
 			Id:          config.ID,
 			Incarnation: uint64(time.Now().UnixNano()),
@@ -244,10 +248,17 @@
 	}).Info("decision")
 }
 
+// largeSettingsBytes is the size of settings whose decoding takes memory that is worth
+// returning to the operating system.
+const largeSettingsBytes = 64 << 10
+
 // applyVersion announces a new settings version and applies it at the executor.
 func (n *Node) applyVersion(version int64) {
 	n.announcer.SetVersion(version)
 	n.executor.Reconfigure()
+	if n.follower.State().Size() >= largeSettingsBytes {
+		n.reclaimer.Schedule()
+	}
 }
 
 // fetchSettings requests the settings that changed since version from a member.
