Do not drop a backend server because its node stood still

Cause: a node that was suspended counted the heartbeats of that time as missing and refused calls to its backend server until the next one. Change: the lease is extended by the time for which the check of the lease is late.

--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -87,18 +87,31 @@
 func (e *Enroller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(e.config.Interval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			e.mu.Lock()
-			e.reportChange("silence")
-			e.mu.Unlock()
+			now := time.Now()
+			e.checkLease(now.Sub(last))
+			last = now
 		}
 	}
 }
 
+// checkLease reports whether the lease has expired. sinceLast is the time since the last
+// check. If that was more than an interval late, this process stood still, and the silence of
+// that time says nothing about the backend server.
+func (e *Enroller) checkLease(sinceLast time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if late := sinceLast - e.config.Interval; late > e.config.Interval {
+		e.registrar.ExtendLease(late)
+	}
+	e.reportChange("silence")
+}
+
 func (e *Enroller) handleHeartbeat(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -138,6 +138,12 @@
 	return now.Sub(r.lastHeartbeat) > leaseIntervals*r.config.Interval
 }
 
+// ExtendLease extends the lease by a time in which this process stood still and could not
+// receive heartbeats.
+func (r *Registrar) ExtendLease(pause time.Duration) {
+	r.lastHeartbeat = r.lastHeartbeat.Add(pause)
+}
+
 // Heartbeat processes a heartbeat and puts it in force unless it is foreign or late.
 func (r *Registrar) Heartbeat(now time.Time, beat Heartbeat) Verdict {
 	if beat.Service != r.config.Service || beat.Address != r.config.Address {
