--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -39,6 +39,9 @@
 	done        chan error
 	runs        atomic.Int32
 	lastRequest atomic.Pointer[http.Request]
+	// ran counts the runs of each request ID.
+	ranMu sync.Mutex
+	ran   map[string]int
 	delay       atomic.Int64
 
 	// mu guards the state and the sequence number in the heartbeats of the backend
@@ -163,6 +166,22 @@
 	d.t.Cleanup(cancel)
 }
 
+func (n *testNode) countRun(id string) {
+	n.ranMu.Lock()
+	defer n.ranMu.Unlock()
+	if n.ran == nil {
+		n.ran = make(map[string]int)
+	}
+	n.ran[id]++
+}
+
+// runsOf returns how often a request ran at the backend server.
+func (n *testNode) runsOf(id string) int {
+	n.ranMu.Lock()
+	defer n.ranMu.Unlock()
+	return n.ran[id]
+}
+
 // serve answers requests like a backend server of the platform.
 func (n *testNode) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
@@ -173,6 +192,7 @@
 		return
 	}
 	n.runs.Add(1)
+	n.countRun(r.Header.Get("X-Laburnumshelf-Request-Id"))
 	n.lastRequest.Store(r.Clone(context.Background()))
 	select {
 	case <-time.After(time.Duration(n.delay.Load())):
--- /dev/null
+++ b/internal/process/runner/platform_stop_test.go
@@ -0,0 +1,122 @@
+package runner
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// exchange is one request of a client and what it saw. The status is 0 if the connection
+// ended without a complete answer.
+type exchange struct {
+	id     string
+	status int
+}
+
+// sendOnConnections sends requests one after another on kept connections to the node of n,
+// until stop is closed or the node accepts no connection. It opens a new connection only
+// after the old one has ended, like a client that does not notice a planned stop.
+func sendOnConnections(n *testNode, client int, stop <-chan struct{}) []exchange {
+	var exchanges []exchange
+	var conn net.Conn
+	var reader *bufio.Reader
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return exchanges
+		default:
+		}
+		if conn == nil {
+			var err error
+			if conn, err = net.Dial("tcp", n.config.CallAddress.String()); err != nil {
+				return exchanges
+			}
+			defer conn.Close()
+			reader = bufio.NewReader(conn)
+		}
+		id := fmt.Sprintf("c%d-%d", client, i)
+		fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: h.example\r\nX-Laburnumshelf-Request-Id: %s\r\nX-Laburnumshelf-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", id)
+		status, reusable := readStatus(reader)
+		exchanges = append(exchanges, exchange{
+			id:     id,
+			status: status,
+		})
+		if !reusable {
+			conn.Close()
+			conn = nil
+		}
+	}
+}
+
+// readStatus reads one complete answer and returns its status, or 0, and whether the
+// connection can be used again.
+func readStatus(reader *bufio.Reader) (status int, reusable bool) {
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, false
+	}
+	return resp.StatusCode, !resp.Close
+}
+
+// TestPlatformStopUnderLoadCutsNoAcceptedRequest stops a node while clients press on it with
+// kept connections, once the node that takes their requests and once the node beside the
+// backend server that runs them. A request that ran has its answer, none runs twice, and a
+// refusal as not run is true.
+func TestPlatformStopUnderLoadCutsNoAcceptedRequest(t *testing.T) {
+	for _, stopped := range []string{"entry", "target"} {
+		t.Run(stopped, func(t *testing.T) {
+			d := newDeployment(t)
+			target, entry := d.startPair()
+			target.delay.Store(int64(100 * time.Millisecond))
+			leaving := entry
+			if stopped == "target" {
+				leaving = target
+			}
+			stop := make(chan struct{})
+			results := make(chan []exchange, 12)
+			var clients sync.WaitGroup
+			for client := range cap(results) {
+				clients.Go(func() {
+					results <- sendOnConnections(entry, client, stop)
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			leaving.node.Drain()
+			select {
+			case <-leaving.done:
+			case <-time.After(waitTimeout):
+				t.Fatal("the node still runs after its drain")
+			}
+			close(stop)
+			clients.Wait()
+			close(results)
+			for exchanges := range results {
+				checkExchanges(t, target, exchanges)
+			}
+		})
+	}
+}
+
+func checkExchanges(t *testing.T, target *testNode, exchanges []exchange) {
+	t.Helper()
+	for _, e := range exchanges {
+		runs := target.runsOf(e.id)
+		switch {
+		case runs > 1:
+			t.Errorf("request %s: got %d runs, want at most 1", e.id, runs)
+		case runs == 1 && e.status != http.StatusOK:
+			t.Errorf("request %s ran: got status %d, want 200", e.id, e.status)
+		case runs == 0 && e.status == http.StatusOK:
+			t.Errorf("request %s did not run: got status 200", e.id)
+		}
+	}
+}
