Throttle less urgent routes when the services on their path fill up

Cause: the entry learned of a bottleneck only from failures. A deposit makes ten calls at dispatch and fails if one of them does, so under a crowd it failed before browses did, and all routes were throttled alike.

Change: answers report the pressure, the utilization of the backend server or of the fullest service downstream of it. Routes that are not critical are throttled in proportion above 0.95 and released in proportion below 0.85, critical ones by failures alone. The policies are in throttler, beside the load that they answer.

--- a/internal/connection/translator/translator.go
+++ b/internal/connection/translator/translator.go
@@ -21,6 +21,10 @@
 // Strain, in steps from 0 to 1.
 const overloadRatioScale = 100
 
+// pressureScale is the resolution of a pressure in the integer wire field Pressure, in steps
+// per 1.
+const pressureScale = 100
+
 // CallHead returns the wire message for a call, without its body. The deadline is
 // sent as remaining time, so that the clocks of the two nodes need not agree.
 func CallHead(call *caller.Call, now time.Time) *encoder.CallHead {
@@ -92,6 +96,7 @@
 			Threshold: uint32(answer.Load.Threshold),
 			Leaving:   answer.Load.Leaving,
 			Leaf:      answer.Load.IsLeaf,
+			Pressure:  uint32(math.Round(pressureScale * answer.Load.Pressure)),
 			Strain:    uint32(math.Round(overloadRatioScale * answer.Load.OverloadRatio)),
 		},
 		PathThreshold:   uint32(answer.PathThreshold),
@@ -121,6 +126,7 @@
 			Leaving:       load.GetLeaving(),
 			IsLeaf:        load.GetLeaf(),
 			OverloadRatio: min(float64(load.GetStrain())/overloadRatioScale, 1),
+			Pressure:      float64(load.GetPressure()) / pressureScale,
 		},
 		PathThreshold:  caller.Priority(head.GetPathThreshold()),
 		Successor:      head.GetSuccessor(),
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -218,6 +218,9 @@
 	// IsLeaf reports whether the backend server belongs to a leaf service, which
 	// makes no calls of its own.
 	IsLeaf bool
+	// Pressure is the utilization of the backend server, or that of the fullest
+	// service downstream of it if that is higher.
+	Pressure float64
 }
 
 // Utilization returns running and queued calls as a fraction of the limit, or 0
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/deduplicator"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/forecaster"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/gauger"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/retrier"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
@@ -105,6 +106,7 @@
 	throttle     *throttler.Throttler
 	failures     *attributor.Table
 	leafDetector *surveyor.LeafDetector
+	gauge        *gauger.Gauge
 
 	// mu guards the throttle and the fields below. It is never held during I/O.
 	mu                  sync.Mutex
@@ -126,6 +128,7 @@
 		throttle:       throttler.New(config.Rand),
 		failures:       attributor.NewTable(),
 		leafDetector:   surveyor.New(),
+		gauge:          gauger.New(),
 		internalRoutes: make(map[string]bool),
 		router: router.New(router.Config{
 			Zone:     config.Zone,
--- a/internal/request/dispatcher/throttle.go
+++ b/internal/request/dispatcher/throttle.go
@@ -10,7 +10,6 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/throttler"
-	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 )
 
 // maxQueueWaitRatio is the longest time that a client's request may wait for a slot, as a
@@ -20,15 +19,6 @@
 // running the request.
 const maxQueueWaitRatio = 0.45
 
-// Critical requests are admitted until a third of them fail, because the requests that
-// would use the freed capacity are worth less. Other requests are throttled before a
-// tenth of them fails, because the work done for a request that fails takes capacity
-// from other requests at the bottleneck.
-var (
-	criticalPolicy = throttler.Policy{LowFailureRatio: 0.15, HighFailureRatio: 0.35, DecreaseFactor: 0.4}
-	defaultPolicy  = throttler.Policy{LowFailureRatio: 0.04, HighFailureRatio: 0.08, DecreaseFactor: 0.8}
-)
-
 // retryAfterRatio is the Retry-After time of a throttled request, as a fraction of the
 // request's objective. It is short enough for the retry to be served in time.
 const retryAfterRatio = 1.0 / 3
@@ -57,10 +47,7 @@
 }
 
 func (d *Dispatcher) admits(now time.Time, call *caller.Call) bool {
-	policy := defaultPolicy
-	if call.Priority.Criticality() == describer.Critical {
-		policy = criticalPolicy
-	}
+	policy := throttler.PolicyFor(call.Priority.Criticality())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.throttle.Admit(now, call.Route, policy)
@@ -103,6 +90,13 @@
 	if internal || !known {
 		d.leafDetector.RecordCall(now)
 	}
+	if answer.Load.Limit > 0 {
+		if internal {
+			d.gauge.Record(now, o.call.Service, answer.Load.Pressure)
+		} else {
+			d.throttle.RecordPressure(now, o.call.Route, answer.Load.Pressure)
+		}
+	}
 	overloadRatio := 0.0
 	if answer.Outcome != caller.Answered || answer.Status >= 500 {
 		overloadRatio = attributor.OverloadRatio(answer, o.targetLoad(now, answer))
@@ -139,6 +133,12 @@
 	return d.leafDetector.IsLeaf(now)
 }
 
+// Pressure returns the utilization of the fullest service downstream of the local backend
+// server.
+func (d *Dispatcher) Pressure(now time.Time) float64 {
+	return d.gauge.Pressure(now)
+}
+
 // OverloadRatio returns the overload ratio of the calls of the local backend server: the part
 // of their failures, from 0 to 1, that is due to overload.
 func (d *Dispatcher) OverloadRatio(now time.Time) float64 {
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -66,6 +66,9 @@
 	// IsLeaf reports whether the backend server is known to belong to a leaf service,
 	// which makes no calls of its own.
 	IsLeaf(now time.Time) bool
+	// Pressure returns the utilization of the fullest service downstream of the
+	// backend server.
+	Pressure(now time.Time) float64
 }
 
 // Executor runs inbound calls. Its methods are safe for concurrent use.
@@ -137,10 +140,12 @@
 	defer e.mu.Unlock()
 	load := e.admitter.Load()
 	load.Leaving = e.leaving
+	load.Pressure = load.Utilization()
 	if downstream := e.config.Downstream; downstream != nil {
 		now := time.Now()
 		load.OverloadRatio = downstream.OverloadRatio(now)
 		load.IsLeaf = downstream.IsLeaf(now)
+		load.Pressure = max(load.Pressure, downstream.Pressure(now))
 	}
 	return load
 }
--- a/internal/request/throttler/throttler.go
+++ b/internal/request/throttler/throttler.go
@@ -7,10 +7,15 @@
 // admitted requests fail and raises it when they succeed. All nodes together
 // settle near the load that the bottleneck can handle.
 //
+// Less urgent routes are throttled earlier: when the answers to their requests report that a
+// service on their path fills up (see package gauger). They thus make room for urgent
+// requests before these fail.
+//
 // # Usage
 //
 //	t := throttler.New(rng)
-//	if !t.Admit(now, "r-7", policy) { refuse }
+//	if !t.Admit(now, "r-7", throttler.PolicyFor(criticality)) { refuse }
+//	t.RecordPressure(now, "r-7", load.Pressure)
 //	t.RecordResult(now, "r-7", overloadRatio)
 package throttler
 
@@ -18,6 +23,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/fader"
 )
 
 // Throttle parameters.
@@ -42,24 +49,12 @@
 	minAdmitProbability = 0.08
 )
 
-// Policy sets how the admission probability of a route reacts to failures.
-type Policy struct {
-	// The probability is raised while the failure ratio is at most
-	// LowFailureRatio, and lowered when it exceeds HighFailureRatio. The low
-	// ratio is not 0 because backend servers also fail some requests for reasons
-	// of their own, and some of these failures are mistaken for overload.
-	LowFailureRatio  float64
-	HighFailureRatio float64
-	// DecreaseFactor times the failure ratio is the fraction by which the
-	// probability is lowered.
-	DecreaseFactor float64
-}
-
 // Throttler keeps a separate admission probability for each route. It is not safe
 // for concurrent use; the owner must hold one lock around every method call.
 type Throttler struct {
 	rng    *rand.Rand
 	routes map[string]*routeState
+	peak   peak
 }
 
 // routeState holds the admission probability of one route and the results of its
@@ -70,10 +65,13 @@
 	results          int
 	// overloadFailures is the sum of the overload ratios of the results.
 	overloadFailures float64
+	pressure         pressureWindow
 	// decreased reports whether the last window lowered the probability. The
 	// current window does not lower it again, because requests that end in it may
 	// have been admitted before the decrease.
 	decreased bool
+	// failing reports whether more requests failed in the last window than LowFailureRatio.
+	failing bool
 	// calmWindows counts the windows with few failures since the last decrease.
 	calmWindows int
 }
@@ -83,6 +81,9 @@
 	return &Throttler{
 		rng:    rng,
 		routes: make(map[string]*routeState),
+		peak: peak{
+			fader: fader.New(peakHalfLife),
+		},
 	}
 }
 
@@ -91,6 +92,7 @@
 func (t *Throttler) Admit(now time.Time, route string, policy Policy) bool {
 	r := t.routeState(now, route)
 	r.endWindow(now, policy)
+	t.endPressureWindow(now, r, policy)
 	return r.admitProbability >= 1 || t.rng.Float64() < r.admitProbability
 }
 
@@ -127,6 +129,7 @@
 	if r.results > 0 {
 		failureRatio = r.overloadFailures / float64(r.results)
 	}
+	r.failing = failureRatio > policy.LowFailureRatio
 	switch {
 	case failureRatio > policy.HighFailureRatio && r.overloadFailures >= minFailures:
 		if !r.decreased {
@@ -134,7 +137,7 @@
 		}
 		r.decreased = !r.decreased
 		r.calmWindows = 0
-	case failureRatio <= policy.LowFailureRatio:
+	case !r.failing && (policy.MaxPressure == 0 || r.pressure.last <= policy.CalmPressure):
 		r.calmWindows++
 		r.admitProbability = min(r.admitProbability+increaseStep*math.Pow(float64(r.calmWindows), increaseExponent), 1)
 		r.decreased = false
