Test uploads through two nodes

A slow reader, an early answer, a client that breaks off, and a stop in the middle: the backend server reads the client's bytes to the end, or a beginning of them and an error.

--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -39,6 +39,8 @@
 	done        chan error
 	runs        atomic.Int32
 	lastRequest atomic.Pointer[http.Request]
+	// run replaces the default run of a request, if it is set.
+	run atomic.Pointer[http.HandlerFunc]
 	// ran counts the runs of each request ID.
 	ranMu sync.Mutex
 	ran   map[string]int
@@ -194,6 +196,11 @@
 	n.runs.Add(1)
 	n.countRun(r.Header.Get("X-Laburnumshelf-Request-Id"))
 	n.lastRequest.Store(r.Clone(context.Background()))
+	if run := n.run.Load(); run != nil {
+		h.Set("X-Laburnumshelf-Response-Signature", "signed-by-"+n.id)
+		(*run)(w, r)
+		return
+	}
 	select {
 	case <-time.After(time.Duration(n.delay.Load())):
 	case <-r.Context().Done():
