--- a/internal/request/recorder/recorder.go
+++ b/internal/request/recorder/recorder.go
@@ -156,11 +156,8 @@
 	CallLatency *LatencyHistogram
 	RunLatency  *LatencyHistogram
 
-	mu sync.Mutex
-	// ring holds the newest decisions. Once it is full, next is the index of the
-	// oldest one, which the next decision overwrites.
-	ring []Decision
-	next int
+	mu   sync.Mutex
+	kept *ring
 	// routineLines and otherLines limit the rate of log lines.
 	routineLines lineLimiter
 	otherLines   lineLimiter
@@ -204,7 +201,7 @@
 	return &Recorder{
 		log:         log,
 		node:        node,
-		ring:        make([]Decision, 0, size),
+		kept:        newRing(size),
 		CallLatency: NewLatencyHistogram(),
 		RunLatency:  NewLatencyHistogram(),
 	}
@@ -254,7 +251,7 @@
 	if logging {
 		lines = r.selectLines(&d)
 	}
-	r.storeInRing(d)
+	r.kept.add(d)
 	return lines
 }
 
@@ -275,9 +272,8 @@
 		return []Decision{*d}
 	}
 	var lines []Decision
-	for i := range r.ring {
-		earlier := &r.ring[(r.next+i)%len(r.ring)]
-		if earlier.RequestID == d.RequestID && !earlier.lineWritten {
+	for _, earlier := range r.kept.find(d.RequestID) {
+		if !earlier.lineWritten {
 			earlier.lineWritten = true
 			lines = append(lines, *earlier)
 		}
@@ -285,30 +281,13 @@
 	return append(lines, *d)
 }
 
-// storeInRing adds a decision to the ring and overwrites the oldest one if the ring
-// is full. The caller holds r.mu.
-func (r *Recorder) storeInRing(d Decision) {
-	if len(r.ring) < cap(r.ring) {
-		r.ring = append(r.ring, d)
-		return
-	}
-	if len(r.ring) == 0 {
-		return
-	}
-	r.ring[r.next] = d
-	r.next = (r.next + 1) % len(r.ring)
-}
-
 // Find returns the stored decisions about a request, oldest first.
 func (r *Recorder) Find(requestID string) []ExportedDecision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	found := []ExportedDecision{}
-	for i := range r.ring {
-		d := &r.ring[(r.next+i)%len(r.ring)]
-		if d.RequestID == requestID {
-			found = append(found, d.Export(r.node))
-		}
+	for _, d := range r.kept.find(requestID) {
+		found = append(found, d.Export(r.node))
 	}
 	return found
 }
