Leave a region that is short of a service before requests are refused

Cause: calls left a region from a utilization of 2.0 and for a target less busy by 1.0, while the entry now refuses less urgent requests from a pressure of 0.95.

--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -38,11 +38,11 @@
 
 // The utilizations from which calls spill over to targets in other zones and in
 // other regions. A byte sent between regions costs five times as much as one sent
-// between zones. A call between regions costs about a tenth of what the least valuable
-// request that depends on it is worth.
+// between zones, but a region is left before the entry refuses requests because its
+// targets are full (see throttler.Policy).
 const (
 	platformZoneSpillover   = 0.75
-	platformRegionSpillover = 2.0
+	platformRegionSpillover = 1.0
 )
 
 // settingsLog returns the log that holds the settings stream, or nil if there is none.
--- /dev/null
+++ b/internal/process/runner/spillover_test.go
@@ -0,0 +1,62 @@
+package runner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/throttler"
+	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+)
+
+// TestFullRegionIsLeftBeforeRequestsAreRefused fills the servers of one region, while those of
+// another have room. From the utilization at which the entry begins to refuse less urgent
+// requests, calls must go to the other region. Below it they must stay.
+func TestFullRegionIsLeftBeforeRequestsAreRefused(t *testing.T) {
+	const slots = 20
+	refusedFrom := throttler.PolicyFor(describer.Normal).MaxPressure
+	for _, inFlight := range []int{slots / 2, slots * 4 / 5, slots - 1, slots, 2 * slots} {
+		now := time.Unix(1_800_000_000, 0)
+		r := router.New(router.Config{
+			Zone:   "z1",
+			Region: "near",
+			Limits: router.Limits{
+				ZoneSpillover:   platformZoneSpillover,
+				RegionSpillover: platformRegionSpillover,
+			},
+		}, rand.New(rand.NewPCG(1, 2)))
+		service := describer.ServiceName{Team: "t", Name: "switchboard"}
+		for i := range 8 {
+			region, load := "near", caller.Load{InFlight: inFlight, Limit: slots}
+			if i%2 == 1 {
+				region, load = "far", caller.Load{InFlight: slots / 4, Limit: slots}
+			}
+			id := fmt.Sprint(region, i)
+			r.Update(now, &encoder.Member{
+				Id:          id,
+				Incarnation: 1,
+				Region:      region,
+				Zone:        fmt.Sprint("z", i/4+1),
+				Team:        service.Team,
+				Service:     service.Name,
+				Slots:       slots,
+			})
+			target := r.Target(id)
+			r.RecordStart(now, target)
+			r.RecordFinish(now, target, router.Observation{Latency: time.Millisecond, Load: &load})
+		}
+		target, _ := r.Choose(now, service, router.Constraints{CrossRegion: true})
+		utilization := float64(inFlight) / slots
+		want := "near"
+		if utilization >= refusedFrom {
+			want = "far"
+		}
+		if got := target.Member.GetRegion(); got != want {
+			t.Errorf("utilization %.2f: got a target in region %s, want %s", utilization, got, want)
+		}
+	}
+}
