Split the retries of the dispatcher and long test files by concept

dispatcher/retry.go holds which attempt follows another; tests of servers in trouble and of ports have files of their own. No change of behavior.

--- /dev/null
+++ b/internal/request/dispatcher/retry.go
@@ -0,0 +1,91 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/retrier"
+)
+
+// next reports whether another attempt follows, and the reason.
+func (o *outboundCall) next(ctx context.Context, answer *caller.Answer) (bool, caller.Reason) {
+	if ctx.Err() != nil || o.d.config.Switches.NoRetries || o.attemptCount >= maxAttempts {
+		return false, 0
+	}
+	if o.call.Token != nil {
+		return o.nextWithToken(answer)
+	}
+	if answer.Outcome != caller.NotRun {
+		o.mayHaveRun = true
+	}
+	if !o.allowRetry(answer) {
+		return false, 0
+	}
+	return o.spendRetry(answer.Reason)
+}
+
+// allowRetry reports whether the call may be attempted again, given the last answer. If
+// the new attempt would be a repeat, it also takes one repeat from the repeat budget.
+func (o *outboundCall) allowRetry(answer *caller.Answer) bool {
+	if o.call.MaxTargets > 0 && (answer.ReachedBackend || answer.Outcome != caller.NotRun) {
+		if !o.spendRepeat(answer) {
+			return false
+		}
+		o.repeated = true
+		return true
+	}
+	switch answer.Outcome {
+	case caller.NotRun:
+		if answer.Reason.IsOverload() {
+			return !o.d.overloaded(o.call.Service)
+		}
+		return answer.Reason == caller.ReasonLeaving || answer.Reason == caller.ReasonUnreachable ||
+			answer.Reason == caller.ReasonBackendUnreachable || answer.Reason == caller.ReasonIncarnation
+	case caller.Answered:
+		if answer.Status != 502 && answer.Status != 503 && answer.Status != 504 {
+			return false
+		}
+		return answer.PathThreshold == 0 && !o.d.overloaded(o.call.Service)
+	default:
+		return answer.Reason != caller.ReasonBodyBroken && answer.Reason != caller.ReasonTimeout
+	}
+}
+
+// spendRetry takes one retry from the allowance and the retry budget, and reports
+// whether both permit it. If not, it returns the reason for the refusal. It never permits
+// a retry if the beginning of the request body is no longer kept.
+func (o *outboundCall) spendRetry(reason caller.Reason) (bool, caller.Reason) {
+	if !o.call.Body.Replayable() {
+		return false, reason
+	}
+	if !o.pool.Spend() {
+		o.d.record(o.call, recorder.Refuse, caller.ReasonAllowance, caller.NotRun, "", 0)
+		return false, caller.ReasonAllowance
+	}
+	// Calls with MaxTargets are exempt from the retry budget. Their repeats have a
+	// budget of their own, and their other retries follow attempts that reached no
+	// backend server and so put no load on one.
+	exempt := o.call.MaxTargets > 0
+	if !exempt && !o.d.config.Switches.NoRetryBudget && !o.d.retryBudget(o.call.Service).Withdraw() {
+		o.d.record(o.call, recorder.Refuse, caller.ReasonRetryBudget, caller.NotRun, "", 0)
+		return false, caller.ReasonRetryBudget
+	}
+	return true, reason
+}
+
+// backOff waits before the next attempt, for a random time that grows with each
+// attempt.
+func (o *outboundCall) backOff(ctx context.Context) {
+	delay := retrier.Delay(o.attemptCount, baseRetryDelay, maxRetryDelay)
+	if o.resolveCount > 0 {
+		delay = retrier.Delay(uint32(o.resolveCount), baseResolveDelay, maxResolveDelay)
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/version/watcher/watcher_test.go
+++ b/internal/version/watcher/watcher_test.go
@@ -46,6 +46,14 @@
 		},
 		Log: log,
 	})
+	runUntilCleanup(t, w)
+	return func() int64 {
+		return f.State().Version
+	}
+}
+
+// runUntilCleanup runs a Watcher until the test ends.
+func runUntilCleanup(t *testing.T, w *watcher.Watcher) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -56,9 +64,6 @@
 		cancel()
 		<-done
 	})
-	return func() int64 {
-		return f.State().Version
-	}
 }
 
 func put(t *testing.T, store *logserver.Store, version string) {
@@ -178,16 +183,7 @@
 		HasReader: hasReader.Load,
 		Log:       log,
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		w.Run(ctx)
-		close(done)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	runUntilCleanup(t, w)
 	return source, f
 }
 
