--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -27,7 +27,7 @@
 	defaultSpillover = 0.8
 	// minRegionGain is the least difference in score that justifies a target of
 	// another region where traffic between regions has a price.
-	minRegionGain = 0.4
+	minRegionGain = 0.6
 	// maxLoadAge is the age at which a load report expires.
 	maxLoadAge = time.Second
 	// targetLatencyWeight is the weight of a new latency in the moving average of
