Do not throttle a route for the pressure of another path

Cause, found on reading: a window without reports took the highest pressure of all routes of the node, so a route with few requests was refused while its own path had room. Change: that peak only allows a release, it never lowers a probability, nor keeps a route from being released after failures.

--- a/internal/connection/sessionizer/sessionizer.go
+++ b/internal/connection/sessionizer/sessionizer.go
@@ -1,9 +1,9 @@
-// Package sessionizer defines the parameters of a session between two nodes. Both
-// ends use the same ones.
+// Package sessionizer defines the parameters of a session between two nodes and the
+// connection below it. Both ends use the same ones.
 //
 // # Usage
 //
-//	session, err := yamux.Server(conn, sessionizer.Config())
+//	session, err := yamux.Server(sessionizer.NewConn(conn), sessionizer.Config())
 package sessionizer
 
 import (
--- a/internal/request/throttler/pressure.go
+++ b/internal/request/throttler/pressure.go
@@ -10,9 +10,8 @@
 // service that many routes reach: the less urgent routes leave room there before the
 // requests of the urgent ones fail.
 const (
-	// minPressureWindow is the shortest time between two changes because of pressure.
-	// After maxPressureWindow a window without reports ends with the peak of all
-	// routes.
+	// minPressureWindow is the shortest time between two changes because of pressure. A
+	// window without reports lasts maxPressureWindow.
 	minPressureWindow = 250 * time.Millisecond
 	maxPressureWindow = 500 * time.Millisecond
 	// peakHalfLife is the time in which the peak falls by half.
@@ -30,7 +29,7 @@
 	start   time.Time
 	sum     float64
 	reports int
-	// last is the mean pressure of the last window.
+	// last is the mean pressure of the last window, or 0 if it had no reports.
 	last float64
 	// decreased reports whether the last window lowered the probability. The next
 	// window does not lower it again, because its requests were admitted before.
@@ -60,32 +59,29 @@
 	t.peak.record(now, pressure)
 }
 
-// end returns the mean pressure of the window and starts the next one, if the window is
-// over. A window without reports ends with the peak of all routes: where that is low, the
-// path of this route has room too.
-func (w *pressureWindow) end(now time.Time, peak *peak) (mean float64, over bool) {
+// isOver reports whether the window has lasted long enough.
+func (w *pressureWindow) isOver(now time.Time) bool {
 	length := now.Sub(w.start)
-	if length < minPressureWindow || (w.reports == 0 && length < maxPressureWindow) {
-		return 0, false
-	}
-	mean = peak.at(now)
-	if w.reports > 0 {
-		mean = w.sum / float64(w.reports)
-	}
-	w.start, w.sum, w.reports = now, 0, 0
-	return mean, true
+	return length >= maxPressureWindow || (w.reports > 0 && length >= minPressureWindow)
 }
 
 // endPressureWindow adjusts the admission probability of a route in proportion to the
 // pressure, if the current window is over.
 func (t *Throttler) endPressureWindow(now time.Time, r *routeState, policy Policy) {
 	w := &r.pressure
-	mean, over := w.end(now, &t.peak)
-	if !over {
+	if !w.isOver(now) {
 		return
 	}
-	w.last = mean
-	tooHigh := policy.MaxPressure > 0 && mean > policy.MaxPressure
+	// Without reports, the peak of all routes is an upper bound: where it is low, the path
+	// of this route has room too. Where it is high, that may be another path.
+	mean, tooHigh := t.peak.at(now), false
+	w.last = 0
+	if w.reports > 0 {
+		mean = w.sum / float64(w.reports)
+		w.last = mean
+		tooHigh = policy.MaxPressure > 0 && mean > policy.MaxPressure
+	}
+	w.start, w.sum, w.reports = now, 0, 0
 	switch {
 	case tooHigh && !w.decreased:
 		r.admitProbability = max(r.admitProbability*max(policy.MaxPressure/mean, minDecrease), minAdmitProbability)
