--- a/internal/request/throttler/policy.go
+++ b/internal/request/throttler/policy.go
@@ -32,14 +32,14 @@
 		LowFailureRatio:  0.15,
 		HighFailureRatio: 0.35,
 		DecreaseFactor:   0.4,
-		CalmPressure:     0.9,
+		CalmPressure:     0.95,
 	}
 	defaultPolicy = Policy{
 		LowFailureRatio:  0.04,
 		HighFailureRatio: 0.08,
 		DecreaseFactor:   0.8,
-		MaxPressure:      1.0,
-		CalmPressure:     0.9,
+		MaxPressure:      1.1,
+		CalmPressure:     0.95,
 	}
 )
 
