--- a/internal/request/throttler/pressure.go
+++ b/internal/request/throttler/pressure.go
@@ -19,7 +19,7 @@
 	// A window lowers the probability at most by the factor minDecrease and raises it
 	// at most by maxIncrease.
 	minDecrease = 0.25
-	maxIncrease = 1.4
+	maxIncrease = 1.8
 	// minPressure is the pressure that a raise assumes at least.
 	minPressure = 0.1
 )
