--- a/internal/process/runner/spillover_test.go
+++ b/internal/process/runner/spillover_test.go
@@ -14,15 +14,15 @@
 )
 
 // TestFullRegionIsLeftBeforeRequestsAreRefused fills the servers of one region, while those of
-// another have room. Calls must go to the other region once the slots of their own are taken,
-// which is before the entry begins to refuse less urgent requests. They must stay while there
-// is room in their own.
+// another have room. Calls must go to the other region when one more call takes the last slot
+// of their own, which is before the entry begins to refuse less urgent requests. They must
+// stay while there is room in their own.
 func TestFullRegionIsLeftBeforeRequestsAreRefused(t *testing.T) {
 	const slots = 20
 	if refusedFrom := throttler.PolicyFor(describer.Normal).MaxPressure; refusedFrom < 1 {
 		t.Errorf("requests are refused from a utilization of %.2f, while their region has room", refusedFrom)
 	}
-	for _, inFlight := range []int{slots / 2, slots * 4 / 5, slots, 2 * slots} {
+	for _, inFlight := range []int{slots / 2, slots * 4 / 5, slots - 1, slots, 2 * slots} {
 		now := time.Unix(1_800_000_000, 0)
 		r := router.New(router.Config{
 			Zone:   "z1",
@@ -54,7 +54,7 @@
 		}
 		target, _ := r.Choose(now, service, router.Constraints{CrossRegion: true})
 		want := "near"
-		if inFlight >= slots {
+		if inFlight >= slots-1 {
 			want = "far"
 		}
 		if got := target.Member.GetRegion(); got != want {
