Review: a named rate limit is exceeded after restarts of nodes

Cause: a restarted node refuses calls before the server's first heartbeat with a load report that has no limit, and the callers' nodes then forget the limit that they should have told it.

Added: review/3, a script for the rule LIMIT.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,6 +19,7 @@
 
 // cases maps the name of a case to its function, which returns what broke the rule.
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
+	"limit": playLimit,
 	"leave": playLeave,
 }
 
