Review: stored answers exceed the memory of a node

Cause: the node beside a server keeps the whole answer, up to 64 KiB, of each call that may not be repeated for 20 s, also after it was delivered. The table is bounded by entries, not by bytes.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,8 +19,9 @@
 
 // cases maps the name of a case to its function, which returns what broke the rule.
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
-	"limit": playLimit,
-	"leave": playLeave,
+	"limit":  playLimit,
+	"leave":  playLeave,
+	"memory": playMemory,
 }
 
 func main() {
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -105,6 +105,22 @@
 	return t.post("Deregister", body)
 }
 
+// drain lets the target report that it leaves. It serves on.
+func (t *target) drain() bool {
+	t.mu.Lock()
+	t.state, t.leaving = "draining", true
+	t.mu.Unlock()
+	return t.post("Heartbeat", t.heartbeat())
+}
+
+// setWork sets how long the target works on each request that begins from now on.
+func (t *target) setWork(work time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.work = work
+	t.m.d.rec.notef("target %s works %s on each request", t.id, work)
+}
+
 func (t *target) setLimit(limit string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -161,7 +177,10 @@
 		return
 	}
 	defer t.freeSlot()
-	work := t.work
+	t.mu.Lock()
+	need := t.work
+	t.mu.Unlock()
+	work := need
 	if millis, err := strconv.Atoi(r.Header.Get("X-Laburnumshelf-Deadline-Ms")); err == nil {
 		left := time.Duration(millis)*time.Millisecond - time.Since(arrived)
 		if left <= 0 {
@@ -181,7 +200,7 @@
 		return
 	}
 	t.setNotices(w.Header())
-	if work < t.work {
+	if work < need {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
@@ -200,9 +219,17 @@
 	}
 	if t.leaving {
 		h.Set("Server-Leaving", "1")
+		h.Set("Connection", "close")
 	}
 }
 
+// runningCount returns the number of requests at which the target is at work.
+func (t *target) runningCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running
+}
+
 // allRuns returns the runs so far.
 func (t *target) allRuns() []run {
 	t.mu.Lock()
