--- a/review/stand/harness.go
+++ b/review/stand/harness.go
@@ -115,14 +115,22 @@
 	return d, err
 }
 
+// maxMachines is the largest number of machines of a case.
+const maxMachines = 6
+
+// machineIP returns the loopback address of the nth machine.
+func machineIP(n int) string { return fmt.Sprintf("127.0.1.%d", n) }
+
 // findPorts returns a block of ports that are free on all loopback addresses of the machines.
 func findPorts() (ports, error) {
-	for base := 21000 + os.Getpid()%5000; base < 32000; base += 40 {
+	for base := 21000 + os.Getpid()%250*40; base < 32000; base += 40 {
 		free := true
 		for port := base; port < base+22 && free; port++ {
-			listener, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port))
-			if free = err == nil; free {
-				listener.Close()
+			for n := 1; n <= maxMachines && free; n++ {
+				listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", machineIP(n), port))
+				if free = err == nil; free {
+					listener.Close()
+				}
 			}
 		}
 		if free {
@@ -159,6 +167,7 @@
 	d        *deployment
 	name     string
 	ip       string
+	zone     string
 	service  string
 	settings string
 
@@ -175,7 +184,8 @@
 	m := &machine{
 		d:       d,
 		name:    fmt.Sprintf("sidecar-%s-%d", zone, n),
-		ip:      fmt.Sprintf("127.0.1.%d", n),
+		ip:      machineIP(n),
+		zone:    zone,
 		service: service,
 	}
 	m.settings = filepath.Join(d.temp, m.name+".jsonc")
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -68,7 +68,7 @@
 	body, _ := json.Marshal(map[string]any{
 		"address": t.m.addr(t.m.d.ports.app),
 		"born":    t.born,
-		"info":    map[string]any{"service": t.m.service, "version": "v1", "zone": "z", "slots": t.slots},
+		"info":    map[string]any{"service": t.m.service, "version": "v1", "zone": t.m.zone, "slots": t.slots},
 		"status":  map[string]any{"state": t.state, "seq": t.sequence, "warmupLeftS": 0},
 	})
 	return body
