Review: clients that leave block a service for a minute

Cause: when a client leaves in the middle of a large answer, the node beside the server stays blocked in a write to the yamux stream, which has no deadline, until the other side resets it after a minute. The slot of the admission is freed only then.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -18,6 +18,7 @@
 	machine  string
 	id       string
 	method   string
+	path     string
 	sent, at time.Time
 	status   int // 0: no answer
 	// target is the ID of the target that signed the answer.
@@ -26,7 +27,9 @@
 	limit   string
 	// reused reports whether an earlier request had used the connection.
 	reused bool
-	err    error
+	// left reports whether the client left before its deadline.
+	left bool
+	err  error
 }
 
 // clients are the clients of all machines.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,8 +19,8 @@
 
 // cases maps the name of a case to its function, which returns what broke the rule.
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
-	"limit":  playLimit,
 	"drain":  playDrain,
+	"giveup": playGiveUp,
 	"leave":  playLeave,
 	"memory": playMemory,
 }
