Keep that a backend server left over restarts of its node

Cause: the leaving was held in the memory of one process. Answers with Server-Leaving were ignored once the server had deregistered, so callers' nodes never learned it from load reports, and announcements did not tell a server that left from one that is silent.

Evidence: the log of the new process shows "backend server registered" with the cause heartbeat; requests came from nodes that had passed on Server-Leaving.

Change: a leaving start (ID and start time) is stored in the members' table before the acknowledgement, which waits for it 0.5 s at most; members tell it to a restarted node; routers keep it by announcement. Answers count for the start that gave them, also after the deregistration and never for the next.

Why it works: the record is written before the promise, so it outlives the process; the next start has another start time and is taken at once.

--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -33,6 +33,11 @@
 // announcements of the members.
 const MembersTable = "laburnumshelf-members"
 
+// leavingSuffix follows the ID of a node in the key of MembersTable under which the node
+// stores the last backend server that left it. Each node has one such record, which the next
+// one replaces.
+const leavingSuffix = "/leaving"
+
 // Announcement parameters.
 const (
 	// contactPeriod is the mean time between two reads of MembersTable while no
@@ -60,7 +65,11 @@
 	// OnConfirmation is called for each confirmation that arrives: version was the newest
 	// one in the operator's table before age. It may be nil.
 	OnConfirmation func(version int64, age time.Duration, member *encoder.Member)
-	Rand           *rand.Rand
+	// OnFormerBackend is called when the store or another member tells that a backend server
+	// left while an earlier process of this node ran. It may be nil, and may be called
+	// several times for one backend server.
+	OnFormerBackend func(backend *encoder.Backend)
+	Rand            *rand.Rand
 }
 
 // Announcer keeps one node in the membership and knows the other members. Its
@@ -186,13 +195,24 @@
 	a.mu.Lock()
 	out := event(a.table)
 	changes := a.table.TakeChanges()
+	former := a.table.TakeFormerBackends()
 	a.mu.Unlock()
 	for _, member := range changes {
 		a.config.OnChange(member)
 	}
+	a.reportFormerBackends(former...)
 	a.send(out)
 }
 
+func (a *Announcer) reportFormerBackends(backends ...*encoder.Backend) {
+	if a.config.OnFormerBackend == nil {
+		return
+	}
+	for _, backend := range backends {
+		a.config.OnFormerBackend(backend)
+	}
+}
+
 // send sends packets and counts them.
 func (a *Announcer) send(out []gossiper.Outgoing) {
 	packets, bytes := int64(0), int64(0)
@@ -281,8 +301,26 @@
 	return a.config.Store.Put(ctx, MembersTable, a.config.Self.GetId(), payload)
 }
 
-// readContacts adds the peer addresses of all announcements in the store as
-// contacts.
+// RecordLeaving stores that the backend server leaves, for the next process of this node.
+func (a *Announcer) RecordLeaving(ctx context.Context, backend *encoder.Backend) error {
+	if a.config.Store == nil {
+		return nil
+	}
+	self := a.config.Self
+	payload, err := proto.Marshal(&encoder.Member{
+		Id:          self.GetId(),
+		Incarnation: self.GetIncarnation(),
+		PeerAddress: self.GetPeerAddress(),
+		Backend:     backend,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode the leaving backend server")
+	}
+	return a.config.Store.Put(ctx, MembersTable, self.GetId()+leavingSuffix, payload)
+}
+
+// readContacts adds the peer addresses of all announcements in the store as contacts. It also
+// reports the backend server that left while an earlier process of this node ran.
 func (a *Announcer) readContacts(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -304,6 +342,9 @@
 		a.mu.Lock()
 		a.table.AddContacts(address)
 		a.mu.Unlock()
+		if entry.Key == a.config.Self.GetId()+leavingSuffix {
+			a.reportFormerBackends(member.GetBackend())
+		}
 	}
 	return nil
 }
--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -25,6 +25,10 @@
 // maxBodyBytes limits the body of a heartbeat or deregistration.
 const maxBodyBytes = 64 << 10
 
+// recordTimeout limits each call of RecordLeaving. A backend server waits one second for an
+// acknowledgement.
+const recordTimeout = 500 * time.Millisecond
+
 // Protocol defines the paths and encodings that a backend server uses to register
 // at its node.
 type Protocol struct {
@@ -44,10 +48,14 @@
 	Service  string
 	Address  netip.AddrPort
 	Interval time.Duration
-	// OnChange is called with each registration whose ID, start time, state or
+	// OnChange is called with each registration whose ID, start time, state, Leaving or
 	// slots changed. The call returns before the heartbeat is acknowledged.
 	OnChange func(registrar.Registration)
-	Log      *logrus.Logger
+	// RecordLeaving stores outside this process that the registered start takes no new work,
+	// so that MarkLeaving can tell the next process. It is called before a heartbeat or
+	// deregistration is acknowledged, and again after it has failed. It may be nil.
+	RecordLeaving func(context.Context, registrar.Registration) error
+	Log           *logrus.Logger
 }
 
 // Enroller keeps the registration of the local backend server. Its methods are
@@ -60,6 +68,8 @@
 	registrar *registrar.Registrar
 	// reported is the registration at the last check for changes.
 	reported registrar.Registration
+	// recorded is the last registration that RecordLeaving has stored.
+	recorded registrar.Registration
 }
 
 // New returns an Enroller without a registration.
@@ -95,6 +105,7 @@
 		case <-ticker.C:
 			now := time.Now()
 			e.checkLease(now.Sub(last))
+			e.recordLeaving(ctx)
 			last = now
 		}
 	}
@@ -127,6 +138,7 @@
 	verdict := e.registrar.Heartbeat(time.Now(), beat)
 	e.reportChange("heartbeat")
 	e.mu.Unlock()
+	e.recordLeaving(r.Context())
 	if verdict != registrar.Taken {
 		e.config.Log.WithFields(logrus.Fields{
 			"backend":  beat.ID,
@@ -154,6 +166,7 @@
 	e.registrar.Deregister(id, born)
 	e.reportChange("deregistration")
 	e.mu.Unlock()
+	e.recordLeaving(r.Context())
 	acknowledge(w)
 }
 
@@ -166,6 +179,39 @@
 	e.reportChange("answer")
 }
 
+// MarkLeaving records that a start of a backend server takes no new work, as an earlier
+// process of this node knew.
+func (e *Enroller) MarkLeaving(id string, born time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.registrar.MarkLeaving(id, born)
+	e.reportChange("earlier process")
+}
+
+// recordLeaving calls RecordLeaving if the registered start leaves and that is not stored
+// yet. An acknowledgement must not wait for a store that is away, so the call has a timeout.
+func (e *Enroller) recordLeaving(ctx context.Context) {
+	e.mu.Lock()
+	current, recorded := e.reported, e.recorded
+	e.mu.Unlock()
+	if e.config.RecordLeaving == nil || !current.Leaving || sameStart(current, recorded) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	if err := e.config.RecordLeaving(ctx, current); err != nil {
+		e.config.Log.WithError(err).WithField("backend", current.ID).Warn("cannot store that the backend server leaves; trying again")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.recorded = current
+}
+
+func sameStart(a, b registrar.Registration) bool {
+	return a.ID == b.ID && a.Born.Equal(b.Born)
+}
+
 func acknowledge(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	io.WriteString(w, "{}")
@@ -177,7 +223,7 @@
 	current := e.registrar.Current(time.Now())
 	reported := e.reported
 	e.reported = current
-	if current.ID == reported.ID && current.Born.Equal(reported.Born) && current.State == reported.State && current.Slots == reported.Slots {
+	if sameStart(current, reported) && current.State == reported.State && current.Leaving == reported.Leaving && current.Slots == reported.Slots {
 		return
 	}
 	e.config.Log.WithFields(logrus.Fields{
--- a/internal/process/enroller/enroller_test.go
+++ b/internal/process/enroller/enroller_test.go
@@ -1,6 +1,7 @@
 package enroller
 
 import (
+	"context"
 	"io"
 	"net/http/httptest"
 	"net/netip"
@@ -63,3 +64,72 @@
 		}
 	})
 }
+
+// TestAcknowledgedLeavingIsNotStored guards against an acknowledged leaving that ends with this
+// process, and against an acknowledgement that a silent store delays.
+func TestAcknowledgedLeavingIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval = time.Second
+		address := netip.MustParseAddrPort("10.0.0.1:80")
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		state, storeAway := registrar.Ready, true
+		var stored []registrar.Registration
+		e := New(Config{
+			Protocol: Protocol{
+				HeartbeatPath:  "/beat/",
+				DeregisterPath: "/gone/",
+				DecodeHeartbeat: func(string, []byte) (registrar.Heartbeat, error) {
+					return registrar.Heartbeat{
+						ID:       "a",
+						Address:  address,
+						Service:  "allot",
+						Born:     time.Unix(9, 0),
+						State:    state,
+						Sequence: uint64(time.Now().UnixNano()),
+					}, nil
+				},
+				DecodeDeregistration: func(string, []byte) (string, time.Time, error) {
+					return "a", time.Time{}, nil
+				},
+			},
+			Service:  "allot",
+			Address:  address,
+			Interval: interval,
+			OnChange: func(registrar.Registration) {},
+			RecordLeaving: func(ctx context.Context, registration registrar.Registration) error {
+				if storeAway {
+					<-ctx.Done()
+					return ctx.Err()
+				}
+				stored = append(stored, registration)
+				return nil
+			},
+			Log: log,
+		})
+		post := func(path string) time.Duration {
+			started := time.Now()
+			e.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", path, strings.NewReader("{}")))
+			return time.Since(started)
+		}
+		post("/beat/a")
+		state = registrar.Draining
+		time.Sleep(interval)
+		if got := post("/beat/a"); got > recordTimeout {
+			t.Errorf("store away: got the acknowledgement after %s, want at most %s", got, recordTimeout)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go e.Run(ctx)
+		time.Sleep(2 * interval)
+		storeAway = false
+		time.Sleep(2 * interval)
+		if len(stored) != 1 || stored[0].ID != "a" || !stored[0].Born.Equal(time.Unix(9, 0)) {
+			t.Errorf("after the store is back: got %+v stored, want a once", stored)
+		}
+		cancel()
+		post("/gone/a")
+		if len(stored) != 1 {
+			t.Errorf("got %d stored, want each start once", len(stored))
+		}
+	})
+}
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -57,6 +57,9 @@
 	// often a node transmits one change. The limit is at least minTransmits.
 	transmitFactor = 1.5
 	minTransmits   = 4
+	// formerRetention is how long a restarted member is told what its earlier process
+	// announced of a leaving backend server.
+	formerRetention = 10 * time.Second
 	// maxUpdateBytes limits the encoded size of the updates in one packet.
 	maxUpdateBytes = 1100
 	// maxSyncPackets limits the queued packets that one flush sends to a peer.
@@ -93,6 +96,10 @@
 	// transmitsLeft is the number of transmissions left for the last change of
 	// the member.
 	transmitsLeft int
+	// former is the last announcement of an earlier process of the member whose backend
+	// server was leaving. formerSince is when that process was replaced.
+	former      *encoder.Member
+	formerSince time.Time
 }
 
 // contact is the address of a possible member through which to join.
@@ -134,6 +141,8 @@
 	sendQueues map[netip.AddrPort][]*encoder.Member
 	contacts   []*contact
 	changes    []*encoder.Member
+	// formerBackends holds what other members know of earlier processes of this node.
+	formerBackends []*encoder.Backend
 	// digests holds the combined digests of the members in each hash bucket.
 	digests [bucketCount]uint64
 	// version is the settings version in force at this node.
@@ -198,6 +207,14 @@
 	return changes
 }
 
+// TakeFormerBackends returns the backend servers that left while an earlier process of this
+// node ran, as far as other members have told since the last call.
+func (t *Table) TakeFormerBackends() []*encoder.Backend {
+	backends := t.formerBackends
+	t.formerBackends = nil
+	return backends
+}
+
 // AddContacts adds addresses through which to join other members. The oldest
 // contacts are dropped when there are more than maxContacts.
 func (t *Table) AddContacts(addresses ...netip.AddrPort) {
@@ -266,6 +283,10 @@
 		t.ids = append(t.ids, id)
 	} else {
 		t.digests[bucket(id)] ^= digest(e.member)
+		if e.member.GetIncarnation() < member.GetIncarnation() && e.member.GetBackend().GetLeaving() {
+			e.former = e.member
+			e.formerSince = now
+		}
 	}
 	e.member = member
 	e.size = proto.Size(member) + 4
--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -332,3 +332,63 @@
 		})
 	}
 }
+
+// restart replaces a table by one of a new process of the same member, which knows only its
+// contacts.
+func (f *fleet) restart(old *Table, contacts ...*Table) *Table {
+	table := New(Config{
+		Self: &encoder.Member{
+			Id:          old.Self().GetId(),
+			Incarnation: uint64(f.now.UnixNano()),
+			Region:      old.Self().GetRegion(),
+			Zone:        old.Self().GetZone(),
+			PeerAddress: old.Self().GetPeerAddress(),
+			Service:     old.Self().GetService(),
+			Registers:   true,
+		},
+		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)),
+	})
+	for _, contact := range contacts {
+		table.AddContacts(contact.self.address)
+	}
+	for i := range f.tables {
+		if f.tables[i] == old {
+			f.tables[i] = table
+		}
+	}
+	f.byAddr[old.self.address] = table
+	return table
+}
+
+// TestRestartedNodeForgetsThatItsServerLeft guards against a node that takes a server back after
+// a restart without the store, whether it joins the others or is found by them.
+func TestRestartedNodeForgetsThatItsServerLeft(t *testing.T) {
+	for _, joins := range []bool{true, false} {
+		for _, leaving := range []bool{true, false} {
+			f := newFleet(8, 3)
+			f.loss = 0.2
+			f.run(5 * time.Second)
+			f.tables[2].SetBackend(f.now, &encoder.Backend{
+				Id:            "i-1",
+				BornUnixMilli: 1000,
+				Leaving:       leaving,
+			}, 10)
+			f.run(2 * time.Second)
+			var contacts []*Table
+			if joins {
+				contacts = f.tables[:2]
+			}
+			restarted := f.restart(f.tables[2], contacts...)
+			f.run(10 * time.Second)
+			former := restarted.TakeFormerBackends()
+			if got := len(former) > 0; got != leaving {
+				t.Errorf("joins %t, leaving %t: got told %t, want %t", joins, leaving, got, leaving)
+			}
+			for _, backend := range former {
+				if backend.GetId() != "i-1" || backend.GetBornUnixMilli() != 1000 {
+					t.Errorf("got backend server %s, want i-1", backend)
+				}
+			}
+		}
+	}
+}
--- a/internal/process/gossiper/receive.go
+++ b/internal/process/gossiper/receive.go
@@ -17,6 +17,7 @@
 		return nil
 	}
 	corrections := t.merge(now, sender, true)
+	corrections = append(corrections, t.formerOf(now, sender)...)
 	// A peer that answers from its table sends what the other members know
 	// already, so these updates are not forwarded.
 	forward := packet.GetKind() != encoder.PacketKind_SYNC || !packet.GetAnswer() || len(packet.GetDigests()) > 0
@@ -33,7 +34,7 @@
 	case encoder.PacketKind_PING_REQUEST:
 		return t.relayProbe(now, from, packet)
 	case encoder.PacketKind_JOIN:
-		t.queueAll(from)
+		t.queueAll(from, corrections)
 		return t.flushSendQueues()
 	case encoder.PacketKind_SYNC:
 		t.sendQueues[from] = append(t.sendQueues[from], corrections...)
@@ -79,10 +80,24 @@
 	}
 }
 
+// formerOf returns the last announcement of an earlier process of the sender if that process
+// was replaced a short time ago and its backend server was leaving.
+func (t *Table) formerOf(now time.Time, sender *encoder.Member) []*encoder.Member {
+	e := t.members[sender.GetId()]
+	if e == nil || e.former == nil || now.Sub(e.formerSince) >= formerRetention {
+		return nil
+	}
+	return []*encoder.Member{e.former}
+}
+
 // refute overrides another node's claim about the state of this node. It
-// announces the actual state with a revision above that of the claim.
+// announces the actual state with a revision above that of the claim. If the claim is about
+// an earlier process of this node, it only notes a leaving backend server.
 func (t *Table) refute(now time.Time, update *encoder.Member) {
 	self := t.self.member
+	if update.GetIncarnation() < self.GetIncarnation() && update.GetBackend().GetLeaving() {
+		t.formerBackends = append(t.formerBackends, update.GetBackend())
+	}
 	if update.GetIncarnation() != self.GetIncarnation() || !supersedes(update, self) {
 		return
 	}
@@ -169,9 +184,10 @@
 	}
 }
 
-// queueAll queues all known members for a joining member.
-func (t *Table) queueAll(to netip.AddrPort) {
-	list := make([]*encoder.Member, 0, len(t.members))
+// queueAll queues the corrections and all known members for a joining member.
+func (t *Table) queueAll(to netip.AddrPort, corrections []*encoder.Member) {
+	list := make([]*encoder.Member, 0, len(corrections)+len(t.members))
+	list = append(list, corrections...)
 	for _, e := range t.members {
 		list = append(list, e.member)
 	}
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -84,7 +84,10 @@
 	Born     time.Time
 	Sequence uint64
 	State    State
-	Slots    int
+	// Leaving reports that this start takes no new work any more. A backend server that is
+	// Gone because it is silent is not leaving.
+	Leaving bool
+	Slots   int
 	// WarmAt is the time at which the backend server expects to reach full speed.
 	WarmAt time.Time
 }
@@ -114,9 +117,9 @@
 	// start time of its latest deregistered start, or to the zero time if that is
 	// unknown.
 	deregistered map[string]time.Time
-	// leavingID and leavingBorn identify the start that MarkDraining was last called for.
-	leavingID   string
-	leavingBorn time.Time
+	// leaving maps the ID of each backend server that MarkLeaving was called for to the start
+	// time of the latest call.
+	leaving map[string]time.Time
 }
 
 // New returns a Registrar without a registration.
@@ -124,6 +127,7 @@
 	return &Registrar{
 		config:       config,
 		deregistered: make(map[string]time.Time),
+		leaving:      make(map[string]time.Time),
 	}
 }
 
@@ -152,7 +156,7 @@
 	if beat.Service != r.config.Service || beat.Address != r.config.Address {
 		return Foreign
 	}
-	if beat.State == Ready && beat.ID == r.leavingID && beat.Born.Equal(r.leavingBorn) {
+	if beat.State == Ready && r.isLeaving(beat.ID, beat.Born) {
 		beat.State = Draining
 	}
 	if r.isLate(now, beat) {
@@ -164,6 +168,7 @@
 		Born:     beat.Born,
 		Sequence: beat.Sequence,
 		State:    beat.State,
+		Leaving:  beat.State == Draining,
 		Slots:    beat.Slots,
 		WarmAt:   now.Add(beat.RemainingWarmUp),
 	}
@@ -195,15 +200,30 @@
 // MarkDraining records that the registered backend server takes no new work, whatever its
 // heartbeats report until its next start. It has no effect if another one is registered.
 func (r *Registrar) MarkDraining(id string) {
-	if id != r.current.ID {
+	if id == r.current.ID {
+		r.MarkLeaving(id, r.current.Born)
+	}
+}
+
+// MarkLeaving records that a start of a backend server takes no new work, whether it is
+// registered or not. Its heartbeats count as Draining from then on.
+func (r *Registrar) MarkLeaving(id string, born time.Time) {
+	r.leaving[id] = born
+	if id != r.current.ID || !born.Equal(r.current.Born) {
 		return
 	}
-	r.leavingID, r.leavingBorn = id, r.current.Born
+	r.current.Leaving = true
 	if r.current.State == Ready {
 		r.current.State = Draining
 	}
 }
 
+// isLeaving reports whether the start was marked as leaving.
+func (r *Registrar) isLeaving(id string, born time.Time) bool {
+	leaving, ok := r.leaving[id]
+	return ok && leaving.Equal(born)
+}
+
 // Deregister records that a start of a backend server has ended, so that its
 // later heartbeats are rejected. If born is zero, Deregister uses the start time of the
 // registered backend server, if that has the ID.
@@ -217,6 +237,7 @@
 	if id != r.current.ID || born.Before(r.current.Born) {
 		return Late
 	}
+	r.MarkLeaving(id, r.current.Born)
 	r.current.State = Gone
 	return Taken
 }
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -165,3 +165,44 @@
 		t.Errorf("next start: got %s, want ready", got)
 	}
 }
+
+// TestStartThatLeftIsRegisteredAgain guards against a late heartbeat that puts a start in force
+// again which an earlier process knew to have left.
+func TestStartThatLeftIsRegisteredAgain(t *testing.T) {
+	r := newRegistrar()
+	r.MarkLeaving("a", start)
+	if got := r.Heartbeat(start, heartbeat("a", 0, 7, Ready)); got != Taken {
+		t.Errorf("got verdict %s, want taken", got)
+	}
+	if got := r.Current(start); got.State != Draining || !got.Leaving {
+		t.Errorf("start that left: got %s, leaving %t, want draining, leaving", got.State, got.Leaving)
+	}
+	for _, next := range []Heartbeat{heartbeat("a", time.Second, 1, Ready), heartbeat("b", 2*time.Second, 1, Ready)} {
+		r.Heartbeat(start, next)
+		if got := r.Current(start); got.State != Ready || got.Leaving || got.ID != next.ID {
+			t.Errorf("next start %s: got %s of %s, leaving %t, want ready", next.ID, got.State, got.ID, got.Leaving)
+		}
+	}
+	r.MarkLeaving("b", start.Add(2*time.Second))
+	if got := r.Current(start); got.State != Draining {
+		t.Errorf("start in force: got %s, want draining", got.State)
+	}
+}
+
+// TestSilentStartCountsAsLeaving guards against a server that is lost for good after a silence.
+func TestSilentStartCountsAsLeaving(t *testing.T) {
+	r := newRegistrar()
+	r.Heartbeat(start, heartbeat("a", 0, 1, Ready))
+	later := start.Add(time.Minute)
+	if got := r.Current(later); got.State != Gone || got.Leaving {
+		t.Errorf("after silence: got %s, leaving %t, want gone, not leaving", got.State, got.Leaving)
+	}
+	r.Heartbeat(later, heartbeat("a", 0, 2, Ready))
+	if got := r.Current(later); got.State != Ready {
+		t.Errorf("after its next heartbeat: got %s, want ready", got.State)
+	}
+	r.Deregister("a", time.Time{})
+	if got := r.Current(later); got.State != Gone || !got.Leaving {
+		t.Errorf("deregistered: got %s, leaving %t, want gone, leaving", got.State, got.Leaving)
+	}
+}
--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -51,6 +51,8 @@
 	mu       sync.Mutex
 	state    string
 	sequence int
+	// born is the start time of the backend server.
+	born int
 }
 
 // deployment is a store with the nodes that use it.
@@ -112,6 +114,7 @@
 	n := &testNode{
 		id:      fmt.Sprintf("i-%d", d.sequence),
 		service: service,
+		born:    1000,
 	}
 	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
@@ -256,8 +259,8 @@
 // in order.
 func (d *deployment) sendHeartbeat(n *testNode) int {
 	n.sequence++
-	body := fmt.Sprintf(`{"address":%q,"born":1000,"info":{"service":%q,"version":"v1","zone":"z","slots":10},"status":{"state":%q,"seq":%d,"warmupLeftS":0}}`,
-		n.config.BackendAddress, n.service, n.state, n.sequence)
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"z","slots":10},"status":{"state":%q,"seq":%d,"warmupLeftS":0}}`,
+		n.config.BackendAddress, n.born, n.service, n.state, n.sequence)
 	return d.post(n, "/-/Instances.Heartbeat/"+n.id, body)
 }
 
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -145,7 +145,10 @@
 		Address:  n.config.BackendAddress,
 		Interval: n.config.Platform.HeartbeatInterval,
 		OnChange: n.setBackend,
-		Log:      n.log,
+		RecordLeaving: func(ctx context.Context, registration registrar.Registration) error {
+			return n.announcer.RecordLeaving(ctx, backendOf(registration))
+		},
+		Log: n.log,
 	})
 }
 
@@ -177,22 +180,39 @@
 // only through it.
 func (n *Node) setBackend(registration registrar.Registration) {
 	instance := ""
+	if registration.State == registrar.Ready {
+		instance = registration.ID
+	}
+	n.executor.SetBackend(instance, registration.Born, registration.Slots)
+	n.announcer.SetBackend(backendOf(registration), uint32(registration.Slots))
+}
+
+// backendOf returns what a node announces of a registration.
+func backendOf(registration registrar.Registration) *encoder.Backend {
 	state := encoder.BackendState_BACKEND_GONE
 	switch registration.State {
 	case registrar.Ready:
-		instance = registration.ID
 		state = encoder.BackendState_BACKEND_READY
 	case registrar.Draining:
 		state = encoder.BackendState_BACKEND_DRAINING
 	}
-	n.executor.SetBackend(instance, registration.Slots)
-	n.announcer.SetBackend(&encoder.Backend{
+	return &encoder.Backend{
 		Id:            registration.ID,
 		BornUnixMilli: registration.Born.UnixMilli(),
 		Sequence:      registration.Sequence,
 		State:         state,
 		WarmUnixMilli: registration.WarmAt.UnixMilli(),
-	}, uint32(registration.Slots))
+		Leaving:       registration.Leaving,
+	}
+}
+
+// markFormerBackend applies what the store or another member tells of a backend server that
+// left while an earlier process of this node ran.
+func (n *Node) markFormerBackend(backend *encoder.Backend) {
+	if n.enroller == nil {
+		return
+	}
+	n.enroller.MarkLeaving(backend.GetId(), time.UnixMilli(backend.GetBornUnixMilli()))
 }
 
 // handleReadiness answers the platform's readiness probe: 200 if the node can route
--- a/internal/process/runner/platform_notice_test.go
+++ b/internal/process/runner/platform_notice_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
 // arrivalLog holds the times at which requests arrived at a backend server.
@@ -122,3 +125,48 @@
 		t.Errorf("got %d requests after the answer, want none", got)
 	}
 }
+
+// TestPlatformDeregisteredServerIsUsedAgain guards against a server that is in use again when a
+// heartbeat from before its leaving arrives late at a restarted node. The entry is new, so that
+// only the node beside the server can know.
+func TestPlatformDeregisteredServerIsUsedAgain(t *testing.T) {
+	for _, leave := range []string{"deregister", "draining"} {
+		t.Run(leave, func(t *testing.T) {
+			d := newDeployment(t)
+			target, entry := d.startPair()
+			if leave == "deregister" {
+				d.deregister(target)
+			} else {
+				d.reportState(target, "draining")
+			}
+			target.stop()
+			entry.stop()
+			<-target.done
+			<-entry.done
+			d.runNode(target)
+			d.runNode(entry)
+			d.reportState(entry, "ready")
+			d.eventually("the leaving at the new process", func() bool {
+				d.reportState(target, "ready")
+				members := entry.node.announcer.Members()
+				return slices.ContainsFunc(members, func(member *encoder.Member) bool {
+					return member.GetBackend().GetId() == target.id && member.GetBackend().GetLeaving()
+				})
+			})
+			runs := target.runs.Load()
+			for i := range 5 {
+				if got := d.send(entry, "GET", "/safe/1", fmt.Sprint("late", i)); got.status != 503 {
+					t.Errorf("after a late heartbeat: got %d, want 503", got.status)
+				}
+			}
+			if got := target.runs.Load(); got != runs {
+				t.Errorf("got %d runs after the server left, want none", got-runs)
+			}
+			target.born++
+			d.reportState(target, "ready")
+			d.eventually("use of the next start", func() bool {
+				return d.send(entry, "GET", "/safe/1", "next").status == 200
+			})
+		})
+	}
+}
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -185,7 +185,8 @@
 		OnConfirmation: func(version int64, age time.Duration, member *encoder.Member) {
 			n.synchronizer.ObserveConfirmation(version, age, member)
 		},
-		Rand: rand.New(rand.NewPCG(n.self.GetIncarnation(), 1)),
+		OnFormerBackend: n.markFormerBackend,
+		Rand:            rand.New(rand.NewPCG(n.self.GetIncarnation(), 1)),
 	})
 	n.synchronizer = synchronizer.New(synchronizer.Config{
 		Self:      n.self,
--- a/internal/request/executor/admission.go
+++ b/internal/request/executor/admission.go
@@ -37,14 +37,15 @@
 	e.admitter.Configure(e.admissionConfig())
 }
 
-// SetBackend sets the registered backend server that takes new calls and the number
-// of calls that it runs at once. An empty instance means that there is none.
-func (e *Executor) SetBackend(instance string, slots int) {
+// SetBackend sets the registered backend server that takes new calls, the time of its start
+// and the number of calls that it runs at once. An empty instance means that there is none.
+func (e *Executor) SetBackend(instance string, born time.Time, slots int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if instance != "" && instance != e.lastInstance {
-		// The rate limit belongs to the instance before.
-		e.lastInstance = instance
+	if instance != "" && (instance != e.lastInstance || !born.Equal(e.lastBorn)) {
+		// The rate limit belongs to the start before.
+		e.lastInstance, e.lastBorn = instance, born
+		e.starts++
 		e.setRateLimit(time.Now(), 0)
 		e.rate.answered = false
 	}
@@ -106,12 +107,12 @@
 	return caller.ReasonNone
 }
 
-// isCurrentBackend reports whether the backend server that the call was admitted for
-// is still the one that takes calls.
-func (e *Executor) isCurrentBackend(call *caller.Call) bool {
+// currentStart reports whether the backend server that the call was admitted for is still the
+// one that takes calls, and returns the number of its start.
+func (e *Executor) currentStart(call *caller.Call) (start int, current bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.config.Registers || call.Instance == e.instance
+	return e.starts, !e.config.Registers || call.Instance == e.instance
 }
 
 func (e *Executor) awaitVerdict(ctx context.Context, ticket *admitter.Ticket) caller.Reason {
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -89,8 +89,11 @@
 	leaving     bool
 	// instance is the registered backend server, or empty if there is none.
 	instance string
-	// lastInstance is the last backend server that was registered.
+	// lastInstance is the last backend server that was registered, and lastBorn the time of
+	// its start. starts counts the starts that were registered.
 	lastInstance string
+	lastBorn     time.Time
+	starts       int
 	slots        int
 	rate         rateLimit
 	// backendLeaving reports whether lastInstance said in an answer that it leaves.
@@ -248,7 +251,8 @@
 		}
 		return refused
 	}
-	if !e.isCurrentBackend(call) {
+	start, current := e.currentStart(call)
+	if !current {
 		// The backend server left while the call was queued.
 		e.mu.Lock()
 		e.admitter.Release(time.Now(), ticket, 0, false)
@@ -257,11 +261,11 @@
 	}
 	// This decision is recorded before the run, always with the outcome Answered.
 	e.record(call, recorder.Admit, caller.ReasonAdmitted, caller.Answered, ticket.QueueWait())
-	return e.run(ctx, call, entry, ticket)
+	return e.run(ctx, call, entry, ticket, start)
 }
 
-// run sends an admitted call to the backend server and returns the answer.
-func (e *Executor) run(ctx context.Context, call *caller.Call, entry *deduplicator.Entry, ticket *admitter.Ticket) *caller.Answer {
+// run sends an admitted call to the given start of the backend server and returns the answer.
+func (e *Executor) run(ctx context.Context, call *caller.Call, entry *deduplicator.Entry, ticket *admitter.Ticket, start int) *caller.Answer {
 	if entry != nil {
 		// A call that must run at most once continues when its caller disconnects, so
 		// that any holder of the token can still ask for the outcome.
@@ -282,7 +286,7 @@
 		release(isOverloadError(ctx, err))
 		return e.backendError(call, entry, reason, err)
 	}
-	e.observeNotice(call, answer.Notice)
+	e.observeNotice(call, start, answer.Notice)
 	if answer.Outcome == caller.NotRun {
 		release(answer.Reason.IsOverload())
 		refused := e.refuseNotRun(call, entry, answer.Reason)
--- a/internal/request/executor/notice.go
+++ b/internal/request/executor/notice.go
@@ -40,11 +40,15 @@
 	answered bool
 }
 
-// observeNotice applies what the backend server says of itself in an answer to the call.
-func (e *Executor) observeNotice(call *caller.Call, notice caller.Notice) {
+// observeNotice applies what a start of the backend server says of itself in an answer to the
+// call.
+func (e *Executor) observeNotice(call *caller.Call, start int, notice caller.Notice) {
 	now := time.Now()
+	if notice.Leaving {
+		e.observeLeaving(call, start)
+	}
 	e.mu.Lock()
-	if call.Instance != e.instance {
+	if start != e.starts || call.Instance != e.instance {
 		e.mu.Unlock()
 		return
 	}
@@ -58,17 +62,29 @@
 		e.setRateLimit(now, 0)
 	}
 	after := e.rate.perSecond
-	if notice.Leaving {
-		e.setInstance("")
-		e.backendLeaving = true
-	}
 	e.mu.Unlock()
 	e.reportRateLimit(call, before, after, "answer")
-	if notice.Leaving && e.config.OnNotice != nil {
+}
+
+// observeLeaving applies an answer to the call that says that the backend server leaves. The
+// callers' nodes learn it with the load report, also if the backend server is not in force
+// any more because it has deregistered. An answer may arrive after the next start has
+// registered, which it says nothing about.
+func (e *Executor) observeLeaving(call *caller.Call, start int) {
+	e.mu.Lock()
+	if start != e.starts || e.backendLeaving {
+		e.mu.Unlock()
+		return
+	}
+	e.setInstance("")
+	e.backendLeaving = true
+	perSecond := e.rate.perSecond
+	e.mu.Unlock()
+	if e.config.OnNotice != nil {
 		e.config.OnNotice(NoticeChange{
 			RequestID: call.RequestID,
 			Instance:  call.Instance,
-			RateLimit: after,
+			RateLimit: perSecond,
 			Leaving:   true,
 			Source:    "answer",
 		})
--- a/internal/request/executor/notice_test.go
+++ b/internal/request/executor/notice_test.go
@@ -112,7 +112,7 @@
 			return settings
 		},
 	})
-	e.SetBackend("i-1", 80)
+	e.SetBackend("i-1", time.Time{}, 80)
 	return e
 }
 
@@ -225,16 +225,16 @@
 			{0, named, 3},
 		} {
 			time.Sleep(step.wait)
-			e.observeNotice(call, step.notice)
+			e.observeNotice(call, 1, step.notice)
 			if got := e.Load().RateLimit; got != step.want {
 				t.Errorf("after %+v: got limit %v, want %v", step.notice, got, step.want)
 			}
 		}
-		e.SetBackend("i-2", 80)
+		e.SetBackend("i-2", time.Time{}, 80)
 		if got := e.Load().RateLimit; got != 0 {
 			t.Errorf("next instance: got limit %v, want none", got)
 		}
-		e.observeNotice(call, named)
+		e.observeNotice(call, 1, named)
 		if got := e.Load().RateLimit; got != 0 {
 			t.Errorf("late answer of the instance before: got limit %v, want none", got)
 		}
@@ -264,9 +264,52 @@
 		if answer.Outcome != caller.NotRun || answer.Reason != caller.ReasonLeaving || !answer.Load.BackendLeaving {
 			t.Errorf("got %v with reason %v, leaving %t, want notRun with reason leaving", answer.Outcome, answer.Reason, answer.Load.BackendLeaving)
 		}
-		e.SetBackend("i-2", 80)
+		e.SetBackend("i-2", time.Time{}, 80)
 		if e.Load().BackendLeaving {
 			t.Error("next instance: got leaving, want not")
 		}
 	})
 }
+
+// TestNoticeIsDroppedAfterTheDeregistration guards against callers' nodes that never learn that a
+// backend server leaves, because it deregistered before its answer said so.
+func TestNoticeIsDroppedAfterTheDeregistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &limitedBackend{
+			delay:  time.Second,
+			notice: caller.Notice{Leaving: true},
+		}
+		e := newLimitedExecutor(b)
+		time.AfterFunc(500*time.Millisecond, func() {
+			e.SetBackend("", time.Time{}, 0)
+		})
+		if answer := execute(e, "before", 3*time.Second); !answer.Load.BackendLeaving {
+			t.Error("answer after the deregistration: got a load report of a server that does not leave")
+		}
+	})
+}
+
+// TestNextStartIsTakenForTheOneThatLeft guards against a late answer of one start of a backend
+// server that ends the next start under the same ID.
+func TestNextStartIsTakenForTheOneThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &limitedBackend{
+			delay:  time.Second,
+			notice: caller.Notice{Leaving: true, RateLimit: 5, HasRateLimit: true},
+		}
+		e := newLimitedExecutor(b)
+		time.AfterFunc(500*time.Millisecond, func() {
+			e.SetBackend("i-1", time.Unix(2, 0), 80)
+		})
+		execute(e, "before", 3*time.Second)
+		if load := e.Load(); load.BackendLeaving || load.RateLimit != 0 {
+			t.Errorf("next start: got leaving %t, rate limit %v, want neither", load.BackendLeaving, load.RateLimit)
+		}
+		b.mu.Lock()
+		b.notice = caller.Notice{}
+		b.mu.Unlock()
+		if answer := execute(e, "after", 3*time.Second); answer.Outcome != caller.Answered {
+			t.Errorf("next start: got %v with reason %v, want an answer", answer.Outcome, answer.Reason)
+		}
+	})
+}
--- a/internal/request/router/backend.go
+++ b/internal/request/router/backend.go
@@ -13,6 +13,8 @@
 	maxRoomUtilization = 0.9
 	// backendRetention is how long a router keeps what a backend server said of itself.
 	backendRetention = 10 * time.Minute
+	// maxNotices bounds the starts of backend servers that a router keeps notices of.
+	maxNotices = 8192
 	// maxRateLimitAge is the age at which a rate limit is no longer told to other nodes.
 	maxRateLimitAge = time.Minute
 )
@@ -54,12 +56,37 @@
 		delete(r.notices, key)
 		return
 	}
+	r.storeNotice(now, key, notice)
+}
+
+// recordAnnouncement stores that the backend server of a member leaves, if the member
+// announces that. A node that has restarted may not know it any more.
+func (r *Router) recordAnnouncement(now time.Time, member *encoder.Member) {
+	if !member.GetBackend().GetLeaving() {
+		return
+	}
+	key := keyOf(member)
+	notice := r.notices[key]
+	notice.observed = now
+	notice.leaving = true
+	r.storeNotice(now, key, notice)
+}
+
+// storeNotice stores a notice and removes those that are too old. If there are too many, it
+// removes the oldest one.
+func (r *Router) storeNotice(now time.Time, key backendKey, notice backendNotice) {
 	r.notices[key] = notice
+	oldest := key
 	for other, notice := range r.notices {
 		if now.Sub(notice.observed) > backendRetention {
 			delete(r.notices, other)
+		} else if notice.observed.Before(r.notices[oldest].observed) {
+			oldest = other
 		}
 	}
+	if len(r.notices) > maxNotices {
+		delete(r.notices, oldest)
+	}
 }
 
 // IsLeaving reports whether the target takes no new calls: its node or its backend server
--- a/internal/request/router/backend_test.go
+++ b/internal/request/router/backend_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,3 +64,55 @@
 		t.Error("later: got a target that leaves")
 	}
 }
+
+// TestBackendServerThatLeftIsUsedAgain guards against a server that is chosen again after a
+// restart of its node, when the leaving is known from the announcement alone.
+func TestBackendServerThatLeftIsUsedAgain(t *testing.T) {
+	now := start.Add(time.Minute)
+	announce := func(incarnation uint64, born int64, state encoder.BackendState, leaving bool) *encoder.Member {
+		member := withBackend("i-1", born, incarnation)
+		member.Backend.State = state
+		member.Backend.Leaving = leaving
+		return member
+	}
+	for _, left := range []encoder.BackendState{encoder.BackendState_BACKEND_DRAINING, encoder.BackendState_BACKEND_GONE} {
+		r := newRouter(sameZonePlace)
+		for _, step := range []struct {
+			name   string
+			member *encoder.Member
+			chosen bool
+		}{
+			{"ready", announce(5, 1000, encoder.BackendState_BACKEND_READY, false), true},
+			{"silent", announce(5, 1000, encoder.BackendState_BACKEND_GONE, false), false},
+			{"back after its silence", announce(5, 1000, encoder.BackendState_BACKEND_READY, false), true},
+			{"left", announce(5, 1000, left, true), false},
+			{"late heartbeat at a restarted node", announce(6, 1000, encoder.BackendState_BACKEND_READY, false), false},
+			{"next start under the same id", announce(6, 2000, encoder.BackendState_BACKEND_READY, false), true},
+		} {
+			r.Update(now, step.member)
+			chosen, reason := r.Choose(now, testService, Constraints{})
+			if got := chosen != nil; got != step.chosen {
+				t.Errorf("%s, %s: got a target %t (%s), want %t", left, step.name, got, reason, step.chosen)
+			}
+		}
+	}
+}
+
+// TestNoticesGrowWithoutBound guards against memory that grows with the servers that leave.
+func TestNoticesGrowWithoutBound(t *testing.T) {
+	now := start.Add(time.Minute)
+	r := newRouter(sameZonePlace)
+	for i := range maxNotices + 100 {
+		member := withBackend(fmt.Sprint("i-", i), 1000, 5)
+		member.Backend.Leaving = true
+		now = now.Add(time.Millisecond)
+		r.Update(now, member)
+	}
+	if got := len(r.notices); got > maxNotices {
+		t.Errorf("got %d notices, want at most %d", got, maxNotices)
+	}
+	last := backendKey{id: fmt.Sprint("i-", maxNotices+99), bornUnixMilli: 1000}
+	if !r.notices[last].leaving {
+		t.Error("the newest notice is gone")
+	}
+}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -146,6 +146,7 @@
 	if name.Name == "" {
 		return
 	}
+	r.recordAnnouncement(now, member)
 	target := r.byID[member.GetId()]
 	backendGone := member.GetRegisters() && member.GetBackend().GetState() == encoder.BackendState_BACKEND_GONE
 	if member.GetState() == encoder.MemberState_DEAD || backendGone {
