Count every second arrival at a backend server in one budget

Cause: spendRetry exempted all calls with MaxTargets from the retry budget. Calls with a token follow successors and replaced tokens there without drawing on the budget of repeats, whatever the target had seen. A refusal learned by a query for the outcome did not say that the call had arrived. Calls made for a repeated run were not counted at all.

Change: isRepeatAfter decides by what the target saw, and spendRepeat takes a repeat for each such attempt, one a call. Refused tokens remember the arrival. Budgets are kept by route. Runs tell whether they are repeats, and as many of the calls that begin beside their server draw on its budgets.

--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -178,8 +178,9 @@
 	Allowance uint32
 	// Hop is the depth in the call chain; it is 0 for a request from outside.
 	Hop uint32
-	// Charged reports whether an earlier attempt may have run. If so, even the
-	// first attempts of the calls below this one count against the allowance.
+	// Charged reports whether an earlier attempt may have run, or reached a backend server
+	// that refused it. If so, even the first attempts of the calls below this one count
+	// against the allowance or the budget of repeats.
 	Charged bool
 	// Attempt is the number of this attempt, starting at 0.
 	Attempt uint32
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -106,6 +106,8 @@
 	// overdue reports whether the token expired while the call was running. The entry
 	// is then not in the table's expiryHeap until the call ends.
 	overdue bool
+	// arrived reports whether the call reached the backend server, which refused it.
+	arrived bool
 }
 
 // Done returns a channel that is closed when the call ends.
@@ -123,6 +125,11 @@
 	return e.successor
 }
 
+// Arrived reports whether a refused call reached the backend server.
+func (e *Entry) Arrived() bool {
+	return e.arrived
+}
+
 // Table stores the tokens of one incarnation of a target. It is not safe for
 // concurrent use; its owner must hold one lock around every method call.
 type Table struct {
@@ -199,6 +206,11 @@
 	return e.verdict()
 }
 
+// MarkArrived records that the backend server refused the call. It must come before Refuse.
+func (t *Table) MarkArrived(entry *Entry) {
+	entry.arrived = true
+}
+
 // Refuse ends a call that was not run, and sets its successor unless one is set
 // already. It has no effect on a call that Finish ended.
 func (t *Table) Refuse(entry *Entry, successor *encoder.Token) {
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -164,7 +164,7 @@
 		return refusal
 	}
 	if o.call.MaxTargets > 0 {
-		o.d.repeatBudget(o.call).RecordAttempt(time.Now())
+		o.recordFirstAttempt(time.Now())
 	} else {
 		o.d.retryBudget(o.call.Service).RecordAttempt()
 	}
@@ -203,7 +203,7 @@
 	}
 	call := *o.call
 	call.Attempt = o.attemptCount
-	call.Charged = o.call.Charged || o.mayHaveRun
+	call.Charged = o.call.Charged || o.mayHaveRun || o.repeated
 	call.Zone = o.d.config.Zone
 	if o.resolveCount > 0 {
 		call.ResolveOnly = true
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -107,12 +107,13 @@
 	failures     *attributor.Table
 	leafDetector *surveyor.LeafDetector
 	gauge        *gauger.Gauge
+	repeatShare  *retrier.RepeatShare
 
 	// mu guards the throttle and the fields below. It is never held during I/O.
 	mu                  sync.Mutex
 	router              *router.Router
 	retryBudgets        map[describer.ServiceName]*retrier.Budget
-	repeatBudgets       map[describer.ServiceName]*retrier.DecayingBudget
+	repeatBudgets       map[routeKey]*retrier.DecayingBudget
 	crossRegionLimiters map[string]*byteLimiter
 	// internalRoutes holds, for each route seen in an answer, whether it is internal,
 	// that is, called by backend servers and not by clients.
@@ -129,6 +130,7 @@
 		failures:       attributor.NewTable(),
 		leafDetector:   surveyor.New(),
 		gauge:          gauger.New(),
+		repeatShare:    retrier.NewRepeatShare(),
 		internalRoutes: make(map[string]bool),
 		router: router.New(router.Config{
 			Zone:     config.Zone,
@@ -137,7 +139,7 @@
 			Switches: config.RouterSwitches,
 		}, config.Rand),
 		retryBudgets:        make(map[describer.ServiceName]*retrier.Budget),
-		repeatBudgets:       make(map[describer.ServiceName]*retrier.DecayingBudget),
+		repeatBudgets:       make(map[routeKey]*retrier.DecayingBudget),
 		crossRegionLimiters: make(map[string]*byteLimiter),
 	}
 }
--- a/internal/request/dispatcher/retry.go
+++ b/internal/request/dispatcher/retry.go
@@ -29,12 +29,8 @@
 // allowRetry reports whether the call may be attempted again, given the last answer. If
 // the new attempt would be a repeat, it also takes one repeat from the repeat budget.
 func (o *outboundCall) allowRetry(answer *caller.Answer) bool {
-	if o.call.MaxTargets > 0 && (answer.ReachedBackend || answer.Outcome != caller.NotRun) {
-		if !o.spendRepeat(answer) {
-			return false
-		}
-		o.repeated = true
-		return true
+	if o.isRepeatAfter(answer) {
+		return o.spendRepeat(answer)
 	}
 	switch answer.Outcome {
 	case caller.NotRun:
@@ -64,9 +60,9 @@
 		o.d.record(o.call, recorder.Refuse, caller.ReasonAllowance, caller.NotRun, "", 0)
 		return false, caller.ReasonAllowance
 	}
-	// Calls with MaxTargets are exempt from the retry budget. Their repeats have a
-	// budget of their own, and their other retries follow attempts that reached no
-	// backend server and so put no load on one.
+	// Calls with MaxTargets are exempt from the retry budget. Attempts after one that
+	// reached a backend server have a budget of their own (see isRepeatAfter), and the
+	// others put no load on a backend server.
 	exempt := o.call.MaxTargets > 0
 	if !exempt && !o.d.config.Switches.NoRetryBudget && !o.d.retryBudget(o.call.Service).Withdraw() {
 		o.d.record(o.call, recorder.Refuse, caller.ReasonRetryBudget, caller.NotRun, "", 0)
--- a/internal/request/dispatcher/throttle.go
+++ b/internal/request/dispatcher/throttle.go
@@ -122,9 +122,11 @@
 	return target.RecentLoad(now)
 }
 
-// RecordRun records that the local backend server ran a call, for the leaf detector.
-func (d *Dispatcher) RecordRun(now time.Time) {
+// RecordRun records that the local backend server runs a call, for the leaf detector and the
+// share of repeats.
+func (d *Dispatcher) RecordRun(now time.Time, repeat bool) {
 	d.leafDetector.RecordRun(now)
+	d.repeatShare.RecordRun(now, repeat)
 }
 
 // IsLeaf reports whether the local backend server is known to be a leaf service, which
--- a/internal/request/dispatcher/token.go
+++ b/internal/request/dispatcher/token.go
@@ -38,6 +38,9 @@
 // token, and the reason.
 func (o *outboundCall) nextWithToken(answer *caller.Answer) (bool, caller.Reason) {
 	if o.hasExclusiveToken() && answer.Outcome == caller.NotRun && answer.Successor == nil && !answer.Reason.IsOverload() {
+		if o.isRepeatAfter(answer) && !o.spendRepeat(answer) {
+			return false, 0
+		}
 		return o.replaceToken(answer)
 	}
 	if answer.ReachedBackend && answer.Outcome == caller.Unknown {
@@ -51,6 +54,9 @@
 		o.resolveCount++
 		return true, answer.Reason
 	case step.Successor != nil:
+		if o.isRepeatAfter(answer) && !o.spendRepeat(answer) {
+			return false, 0
+		}
 		permitted, reason := o.spendRetry(answer.Reason)
 		if permitted {
 			o.call.Token = step.Successor
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -61,8 +61,8 @@
 // DownstreamMonitor observes the calls that the backend server makes, where these
 // calls do not name their parent call.
 type DownstreamMonitor interface {
-	// RecordRun records a run at the backend server.
-	RecordRun(now time.Time)
+	// RecordRun records a run at the backend server, and whether it is a repeat.
+	RecordRun(now time.Time, repeat bool)
 	// OverloadRatio returns the part, from 0 to 1, of the failures of these calls
 	// that is due to a lack of capacity.
 	OverloadRatio(now time.Time) float64
@@ -274,7 +274,7 @@
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	inbound := e.config.Inbound.Add(call)
 	if e.config.Downstream != nil {
-		e.config.Downstream.RecordRun(time.Now())
+		e.config.Downstream.RecordRun(time.Now(), call.Charged)
 	}
 	answer, err := e.config.Backend.Do(ctx, call)
 	release := func(overloaded bool) {
@@ -289,6 +289,7 @@
 	e.observeNotice(call, start, answer.Notice)
 	if answer.Outcome == caller.NotRun {
 		release(answer.Reason.IsOverload())
+		e.markArrived(entry)
 		refused := e.refuseNotRun(call, entry, answer.Reason)
 		refused.ReachedBackend = true
 		return refused
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -13,9 +13,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/deduplicator"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
 // backend waits and then answers each run, or fails it with err.
@@ -128,3 +130,40 @@
 		}
 	})
 }
+
+// refusingBackend refuses every call.
+type refusingBackend struct{}
+
+// Do implements caller.Backend.
+func (refusingBackend) Do(context.Context, *caller.Call) (*caller.Answer, error) {
+	answer := caller.NewFailure(caller.NotRun, caller.ReasonRefusedByBackend)
+	answer.ReachedBackend = true
+	return answer, nil
+}
+
+// TestLostRefusalLooksLikeACallThatNeverArrived guards against a second arrival that no budget
+// counts, because the answer to a resolve query does not say that the call had arrived.
+func TestLostRefusalLooksLikeACallThatNeverArrived(t *testing.T) {
+	e := newExecutor(&backend{})
+	e.config.Backend = refusingBackend{}
+	refused := func(token *encoder.Token, resolveOnly bool) *caller.Answer {
+		return e.Execute(context.Background(), &caller.Call{
+			CallID:      "c",
+			Route:       "r",
+			Token:       token,
+			ResolveOnly: resolveOnly,
+			Deadline:    time.Now().Add(time.Second),
+		})
+	}
+	token := func() *encoder.Token {
+		return deduplicator.NewToken(time.Now(), "n-1", 0, time.Minute)
+	}
+	sent := token()
+	refused(sent, false)
+	if got := refused(sent, true); got.Outcome != caller.NotRun || !got.ReachedBackend {
+		t.Errorf("query after a refusal: got outcome %v, reached the backend server %t, want notRun, true", got.Outcome, got.ReachedBackend)
+	}
+	if got := refused(token(), true); got.Outcome != caller.NotRun || got.ReachedBackend {
+		t.Errorf("query without a call: got outcome %v, reached the backend server %t, want notRun, false", got.Outcome, got.ReachedBackend)
+	}
+}
--- a/internal/request/executor/token.go
+++ b/internal/request/executor/token.go
@@ -62,10 +62,22 @@
 	}
 	if entry != nil {
 		answer.Successor = entry.Successor()
+		answer.ReachedBackend = entry.Arrived()
 	}
 	return answer
 }
 
+// markArrived records with the token that the call reached the backend server, which refused
+// it, so that a later copy of the call learns it too.
+func (e *Executor) markArrived(entry *deduplicator.Entry) {
+	if entry == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tokens.MarkArrived(entry)
+}
+
 func (e *Executor) recordRefusal(entry *deduplicator.Entry) {
 	e.mu.Lock()
 	missing := entry.Successor() == nil
--- a/internal/request/retrier/decayingbudget.go
+++ b/internal/request/retrier/decayingbudget.go
@@ -41,6 +41,14 @@
 	b.balance = b.balance*b.fader.DecayFactor(now) + b.ratio
 }
 
+// Charge takes one repeat that is not up to this node, even if the budget has none. The
+// balance may then be negative.
+func (b *DecayingBudget) Charge(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance = b.balance*b.fader.DecayFactor(now) - 1
+}
+
 // Withdraw takes one repeat and reports whether the budget had one.
 func (b *DecayingBudget) Withdraw(now time.Time) bool {
 	b.mu.Lock()
