Limit the lines in the head of a backend server's answer

Operators of a similar system saw a node run out of memory, and the requests of other clients end with it, when a server sent bytes without end. Callers here would have seen the same from a server with many slots.

Cause: the head of an answer was limited in bytes.

Change: a head may have 256 lines; the connection is closed after more.

Why it works: 256 lines within 64 KiB bound what the parser and the wire messages keep for a call.

--- a/internal/connection/forwarder/headreader.go
+++ b/internal/connection/forwarder/headreader.go
@@ -1,8 +1,8 @@
 package forwarder
 
 import (
+	"bytes"
 	"io"
-	"math"
 
 	"github.com/cockroachdb/errors"
 )
@@ -11,6 +11,9 @@
 const (
 	// maxHeadBytes limits the status line and headers of one answer.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines limits the lines of one head. A parsed line takes some hundred bytes more
+	// than it has.
+	maxHeadLines = 256
 	// maxSkippedAnswers limits the interim answers and the answers to other requests
 	// that are read before the answer to the call.
 	maxSkippedAnswers = 16
@@ -18,35 +21,53 @@
 	maxSkippedBodyBytes = 1 << 20
 )
 
+var newline = []byte("\n")
+
 var (
 	errHeadTooLarge   = errors.Newf("the head of the answer exceeds the limit of %d bytes", maxHeadBytes)
+	errTooManyLines   = errors.Newf("the head of the answer exceeds the limit of %d lines", maxHeadLines)
 	errTooManySkipped = errors.Newf("more than %d answers before the one to the call", maxSkippedAnswers)
 )
 
 // headReader limits how much of a connection is read while the head of an answer is parsed,
-// because the parser buffers a head of any size.
+// because the parser keeps a head of any size.
 type headReader struct {
-	source    io.Reader
-	remaining int64
+	source io.Reader
+	// inHead reports whether the limits apply. remaining is the number of bytes that may
+	// still be read, and lines the number of lines that were read.
+	inHead    bool
+	remaining int
+	lines     int
 }
 
 // startHead limits the next reads to the head of one answer.
 func (h *headReader) startHead() {
+	h.inHead = true
 	h.remaining = maxHeadBytes
+	h.lines = 0
 }
 
-// endHead removes the limit.
+// endHead removes the limits.
 func (h *headReader) endHead() {
-	h.remaining = math.MaxInt64
+	h.inHead = false
 }
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.source.Read(p)
+	}
 	if h.remaining <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := h.source.Read(p[:min(int64(len(p)), h.remaining)])
-	h.remaining -= int64(n)
+	if h.lines > maxHeadLines {
+		return 0, errTooManyLines
+	}
+	n, err := h.source.Read(p[:min(len(p), h.remaining)])
+	h.remaining -= n
+	// A read may go beyond the head. That does no harm, because the head is then complete
+	// and no limit applies to the next read.
+	h.lines += bytes.Count(p[:n], newline)
 	return n, err
 }
 
--- a/internal/connection/forwarder/trouble_test.go
+++ b/internal/connection/forwarder/trouble_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,3 +125,60 @@
 		})
 	}
 }
+
+// maxCallBytes is what a node may keep for one call while its backend server answers: 256 MB for
+// 280 slots.
+const maxCallBytes = 256 << 20 / 280
+
+// TestHeadOfSmallLinesFillsTheMemory guards against a node that runs out of memory, and the
+// requests of others with it, because its backend server sends heads of many small lines and
+// then no more. A parsed line takes many times the memory of its bytes.
+func TestHeadOfSmallLinesFillsTheMemory(t *testing.T) {
+	const calls = 40
+	for name, start := range map[string]string{
+		"answer":       "HTTP/1.1 500 Failed\r\n",
+		"interim":      "HTTP/1.1 100 Continue\r\n",
+		"after others": answer("other", "") + "HTTP/1.1 200 OK\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent sync.WaitGroup
+			sent.Add(calls)
+			done := make(chan struct{})
+			b := serve(t, func(c net.Conn, r *bufio.Reader) {
+				http.ReadRequest(r)
+				io.WriteString(c, start)
+				for i := 0; i*len("A0000:\r\n") < maxHeadBytes-1024; i++ {
+					fmt.Fprintf(c, "A%04d:\r\n", i)
+				}
+				sent.Done()
+				<-done
+			})
+			config := b.forwarder(t).config
+			config.MaxConnections = calls
+			f := New(config)
+			defer f.Close()
+			before := heapBytes()
+			var ended sync.WaitGroup
+			for i := range calls {
+				ended.Go(func() {
+					do(t, f, call(fmt.Sprint(i)))
+				})
+			}
+			sent.Wait()
+			time.Sleep(100 * time.Millisecond)
+			if got := (heapBytes() - before) / calls; got > maxCallBytes {
+				t.Errorf("got %d bytes for a call, want at most %d", got, maxCallBytes)
+			}
+			close(done)
+			ended.Wait()
+		})
+	}
+}
+
+// heapBytes returns the size of the heap after a garbage collection.
+func heapBytes() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
