End the writes of an answer after the deadline of its call

A client that does not read a body without end kept its request open at the node for good: memory, a goroutine and, in a planned stop, the whole timeout.

Cause: the deadline of a call ends its streams, but the handler waited in a write to the client that had no deadline.

Evidence: in TestPlatformEndlessBodiesFillTheMemory 30 requests with a deadline of 2 s were still open 20 s later; the streams between the nodes were closed.

Change: writes of a large body, or one of unknown size, end two seconds after the deadline of the call, and the connection is aborted. The deadline is removed before the next answer on the connection.

--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -86,7 +86,7 @@
 		h.Set(labeler.Token, deduplicator.FormatToken(answer.Successor))
 	}
 	if answer.Outcome == caller.Answered {
-		return WriteAnswer(c, answer)
+		return WriteAnswer(c, call, answer)
 	}
 	return writeFailure(c, answer)
 }
@@ -124,23 +124,52 @@
 	return http.StatusBadGateway
 }
 
-// WriteAnswer writes an answer with its body to the response. If copying the body
-// fails, WriteAnswer aborts the connection, so that the caller can't mistake the part
-// it received for the complete body.
-func WriteAnswer(c echo.Context, answer *caller.Answer) error {
+// unreadTimeout is how long after the deadline of its call an answer still waits for a caller
+// that does not read.
+const unreadTimeout = 2 * time.Second
+
+// WriteAnswer writes the answer to a call, with its body, to the response. If copying the body
+// fails, or the caller stops reading a large one, WriteAnswer aborts the connection, so that the
+// caller can't mistake the part it received for the complete body.
+func WriteAnswer(c echo.Context, call *caller.Call, answer *caller.Answer) error {
 	response := c.Response()
 	h := response.Header()
 	for name, values := range answer.Header {
 		h[name] = values
 	}
 	response.WriteHeader(answer.Status)
-	hasLength := h.Get("Content-Length") != ""
-	if err := copyBody(response, answer.Body, !hasLength); err != nil {
-		panic(http.ErrAbortHandler)
+	length, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
+	hasLength := err == nil
+	if hasLength && length <= copyBufferBytes {
+		// The buffers of a connection take a small body, so that writing it does not block.
+		abortOnError(copyBody(response, answer.Body, false))
+		return nil
 	}
+	controller := http.NewResponseController(response)
+	setWriteDeadline(controller, call.Deadline.Add(unreadTimeout))
+	abortOnError(copyBody(response, answer.Body, !hasLength))
+	// The deadline applies to what is still buffered, but not to the next answer on the
+	// connection.
+	response.Flush()
+	setWriteDeadline(controller, time.Time{})
 	return nil
 }
 
+// abortOnError aborts the connection if err is not nil.
+func abortOnError(err error) {
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// setWriteDeadline sets the deadline of writes if the connection has one, unlike that of a
+// recorder in a test.
+func setWriteDeadline(controller *http.ResponseController, deadline time.Time) {
+	if err := controller.SetWriteDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 const copyBufferBytes = 16 << 10
 
 // copyBuffers holds the buffers of copyBody.
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -84,7 +84,7 @@
 		if answer.Proof != "" {
 			h.Set(r.config.Dialect.Proof, answer.Proof)
 		}
-		return gateway.WriteAnswer(c, answer)
+		return gateway.WriteAnswer(c, call, answer)
 	}
 	return r.writeFailure(c, answer)
 }
