Refuse requests that may outlive a planned stop

Cause: a stopping node makes calls on internal routes until its end, because runs at its server depend on them, however long they may take. A route that clients of one service's machines ask for counts as internal too.

Evidence: all broken requests are on the one route of that kind, later than 3 s.

Change: the package gatekeeper decides which requests are passed on. From 0.3 s before the end of the linger time on, only those whose deadline is before the cut; then only calls of the local server. The drain ends when nothing is open that was passed on; refusals do not keep it.

Why it works: what is passed on late ends by its deadline before the cut, and what is refused has not run.

--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -145,13 +145,12 @@
 		abortOnError(copyBody(response, answer.Body, false))
 		return nil
 	}
+	// The HTTP server removes the deadline before it reads the next request.
 	controller := http.NewResponseController(response)
-	setWriteDeadline(controller, call.Deadline.Add(unreadTimeout))
+	if err := controller.SetWriteDeadline(call.Deadline.Add(unreadTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		panic(http.ErrAbortHandler)
+	}
 	abortOnError(copyBody(response, answer.Body, !hasLength))
-	// The deadline applies to what is still buffered, but not to the next answer on the
-	// connection.
-	response.Flush()
-	setWriteDeadline(controller, time.Time{})
 	return nil
 }
 
@@ -162,14 +161,6 @@
 	}
 }
 
-// setWriteDeadline sets the deadline of writes if the connection has one, unlike that of a
-// recorder in a test.
-func setWriteDeadline(controller *http.ResponseController, deadline time.Time) {
-	if err := controller.SetWriteDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		panic(http.ErrAbortHandler)
-	}
-}
-
 const copyBufferBytes = 16 << 10
 
 // copyBuffers holds the buffers of copyBody.
--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -39,6 +39,8 @@
 	done        chan error
 	runs        atomic.Int32
 	lastRequest atomic.Pointer[http.Request]
+	// wrapCalls replaces the listener of callers, if it is set before runNode.
+	wrapCalls func(net.Listener) net.Listener
 	// run replaces the default run of a request, if it is set.
 	run atomic.Pointer[http.HandlerFunc]
 	// ran counts the runs of each request ID.
@@ -162,6 +164,9 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	if n.wrapCalls != nil {
+		node.listeners.calls = n.wrapCalls(node.listeners.calls)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.node, n.stop, n.done = node, cancel, make(chan error, 1)
 	done := n.done
--- a/internal/process/runner/drain.go
+++ b/internal/process/runner/drain.go
@@ -46,29 +46,34 @@
 	return max(time.Duration(n.stopTimeout.Load())/stopMarginPart, minStopMargin)
 }
 
+// certainMargin is how long before the end of the linger time the node begins to refuse requests
+// that may outlive the stop, and how long before the cut those must end that it passes on. A
+// caller counts the linger time from the signal, which may be handled late.
+const certainMargin = 300 * time.Millisecond
+
 // awaitDrain returns once the node has drained, shortly before the stop timeout
-// ends, or when ctx is done.
+// ends, or when ctx is done. No request is passed on after that, since its connection may
+// already be closing.
 func (n *Node) awaitDrain(ctx context.Context) error {
+	defer n.gate.Close()
 	select {
 	case <-ctx.Done():
 		n.logForcedStop("stopped")
 		return nil
 	case <-n.draining:
 	}
-	timeout := time.NewTimer(time.Duration(n.stopTimeout.Load()) - n.stopMargin())
+	untilCut := time.Duration(n.stopTimeout.Load()) - n.stopMargin()
+	cut := time.Now().Add(untilCut)
+	timeout := time.NewTimer(untilCut)
 	defer timeout.Stop()
-	lingered := make(chan struct{})
-	linger := time.AfterFunc(lingerTime, func() {
-		close(lingered)
-	})
-	defer linger.Stop()
 	// Callers may send requests until the linger time ends, so the node waits for
 	// open calls only after that.
 	steps := []func() <-chan struct{}{
-		func() <-chan struct{} { return lingered },
-		n.refuseRequests,
+		func() <-chan struct{} { return after(lingerTime - certainMargin) },
+		func() <-chan struct{} { return n.requireEnd(cut) },
+		n.refuseClients,
 		n.executor.Idle,
-		func() <-chan struct{} { return n.requestsIdle(ctx) },
+		n.gate.CloseWhenIdle,
 	}
 	for _, step := range steps {
 		select {
@@ -85,47 +90,47 @@
 	return nil
 }
 
-// refuseRequests makes the node refuse new requests on the users' platform and ask
-// callers to close their connections. It is needed there because a node that
-// reports that it is not ready still receives some requests. Calls on internal
-// routes are still made, because requests that the local backend server still runs
-// depend on them. Outside the platform, Dispatch refuses new requests as soon as the
-// drain starts. The returned channel is closed, because there is nothing to wait for.
-func (n *Node) refuseRequests() <-chan struct{} {
-	if n.config.Platform != nil {
-		n.refusingRequests.Store(true)
-		n.callServer.SetKeepAlivesEnabled(false)
-	}
+// after returns a channel that is closed after a delay.
+func after(delay time.Duration) <-chan struct{} {
 	done := make(chan struct{})
-	close(done)
+	time.AfterFunc(delay, func() {
+		close(done)
+	})
 	return done
 }
 
-// requestsIdle returns a channel that is closed once no caller's request is open or
-// ctx is done.
-func (n *Node) requestsIdle(ctx context.Context) <-chan struct{} {
-	const pollInterval = 20 * time.Millisecond
-	done := make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(pollInterval)
-		defer ticker.Stop()
-		for n.openRequests.Load() > 0 && ctx.Err() == nil {
-			<-ticker.C
-		}
-		close(done)
-	}()
-	return done
+// requireEnd makes the node refuse requests on the users' platform that may outlive the stop,
+// and returns a channel that is closed at the end of the linger time. Outside the platform,
+// Dispatch refuses new requests as soon as the drain starts.
+func (n *Node) requireEnd(cut time.Time) <-chan struct{} {
+	if n.config.Platform != nil {
+		n.gate.RequireEnd(cut.Add(-certainMargin))
+	}
+	return after(certainMargin)
+}
+
+// refuseClients makes the node refuse new requests of clients on the users' platform. It is
+// needed there because a node that reports that it is not ready still receives some requests.
+// Calls on internal routes are still made if they end in time, because requests that the local
+// backend server still runs depend on them. The returned channel is closed, because there is
+// nothing to wait for.
+func (n *Node) refuseClients() <-chan struct{} {
+	if n.config.Platform != nil {
+		n.gate.RefuseClients()
+		n.callServer.SetKeepAlivesEnabled(false)
+	}
+	return after(0)
 }
 
 // logForcedStop logs a stop before the end of the drain. It logs the number of open
-// calls at the local backend server and of open requests from callers, because
+// calls at the local backend server and of requests from callers that were passed on, because
 // the stop cuts them off.
 func (n *Node) logForcedStop(cause string) {
 	n.log.WithFields(logrus.Fields{
 		"node":     n.config.ID,
 		"cause":    cause,
 		"cutCalls": n.executor.OpenCalls(),
-		"cutOwn":   n.openRequests.Load(),
+		"cutOwn":   n.gate.Open(),
 	}).Warn("stopped before the drain ended")
 }
 
--- a/internal/process/runner/platform.go
+++ b/internal/process/runner/platform.go
@@ -116,7 +116,7 @@
 		Recorder:   n.recorder,
 		Service:    n.config.Service,
 	})
-	n.callHandler = n.countOpenRequests(calls)
+	n.callHandler = n.behindGate(calls)
 	n.watcher = watcher.New(watcher.Config{
 		Source:        platform.NewConfigSource(store, n.config.Service.Team),
 		ApplyDocument: n.follower.ApplyDocument,
--- a/internal/process/runner/platform_endless_test.go
+++ b/internal/process/runner/platform_endless_test.go
@@ -77,6 +77,6 @@
 	}
 	requests.Wait()
 	d.eventually("end of the calls at their deadline", func() bool {
-		return entry.node.openRequests.Load() == 0
+		return entry.node.gate.Open() == 0
 	})
 }
--- a/internal/process/runner/platform_stop_test.go
+++ b/internal/process/runner/platform_stop_test.go
@@ -120,3 +120,50 @@
 		}
 	}
 }
+
+// TestPlatformLateRequestsAreCutAtTheEndOfTheStop guards against requests that are passed on late
+// in a planned stop although they may outlive it, by clients and on routes that count as internal.
+func TestPlatformLateRequestsAreCutAtTheEndOfTheStop(t *testing.T) {
+	const stopTimeout = 6 * time.Second
+	d := newDeployment(t)
+	d.configure(1, `,{"name":"long","kind":"safe","aimS":1,"priority":0,"routeMatch":{"pathPrefix":"/long/"},"routeAction":{"service":"a","timeoutS":5,"maxAttempts":2}}`)
+	target, leaving := d.start("a"), d.start("b")
+	d.reportState(target, "ready")
+	d.reportState(leaving, "ready")
+	d.awaitReady(target, leaving)
+	leaving.node.stopTimeout.Store(int64(stopTimeout))
+	d.eventually("an internal route", func() bool {
+		d.send(leaving, "GET", "/long/1", "r")
+		return leaving.node.dispatcher.IsInternal("long")
+	})
+	target.delay.Store(int64(2400 * time.Millisecond))
+	drained := time.Now()
+	leaving.node.Drain()
+	var requests sync.WaitGroup
+	requests.Go(func() {
+		// This request keeps the node while the others come.
+		time.Sleep(lingerTime - 2*certainMargin)
+		if got := d.send(leaving, "GET", "/long/1", "early"); got.status != http.StatusOK {
+			t.Errorf("request before the end of the linger time: got status %d, want 200", got.status)
+		}
+	})
+	for i := range 24 {
+		requests.Go(func() {
+			time.Sleep(lingerTime + time.Duration(i)*100*time.Millisecond)
+			sent := time.Since(drained)
+			id := fmt.Sprint("late", i)
+			conn, err := net.Dial("tcp", leaving.config.CallAddress.String())
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "GET /long/1 HTTP/1.1\r\nHost: h.example\r\nX-Laburnumshelf-Request-Id: %s\r\n\r\n", id)
+			status, _ := readStatus(bufio.NewReader(conn))
+			if runs := target.runsOf(id); runs > 0 && status != http.StatusOK {
+				t.Errorf("request sent %s after the drain began: got status %d and %d runs, want a whole answer if it ran", sent, status, runs)
+			}
+		})
+	}
+	requests.Wait()
+	<-leaving.done
+}
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -31,6 +31,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/process/announcer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/enroller"
+	"github.com/laburnumshelf/laburnumshelf/internal/process/gatekeeper"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/reclaimer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/synchronizer"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
@@ -78,8 +79,10 @@
 
 	listeners   listeners
 	callHandler http.Handler
-	// openRequests is the number of callers' requests that are not fully answered.
-	openRequests atomic.Int64
+	// callServer serves callers.
+	callServer *http.Server
+	// gate decides which requests of callers are passed on.
+	gate *gatekeeper.Gatekeeper
 	// stopTimeout is the longest duration of a graceful stop (the drain and the
 	// shutdown of the servers), in nanoseconds.
 	stopTimeout atomic.Int64
@@ -87,10 +90,6 @@
 	// since 1970. It is 0 before the drain.
 	stopDeadline atomic.Int64
 	drainOnce    sync.Once
-	// callServer serves callers. refusingRequests is set once the node refuses new
-	// requests.
-	callServer       *http.Server
-	refusingRequests atomic.Bool
 	// draining is closed when the drain starts.
 	draining chan struct{}
 }
@@ -106,6 +105,7 @@
 		log:       log,
 		listeners: opened,
 		draining:  make(chan struct{}),
+		gate:      gatekeeper.New(),
 		reclaimer: reclaimer.New(debug.FreeOSMemory),
 		self: &encoder.Member{
 			Id:          config.ID,
@@ -219,18 +219,41 @@
 		Inbound:    inbound,
 		Settings:   n.settings,
 	})
-	n.callHandler = n.countOpenRequests(calls)
+	n.callHandler = n.behindGate(calls)
 }
 
-// countOpenRequests returns handler with a count of its open requests.
-func (n *Node) countOpenRequests(handler http.Handler) http.Handler {
+// passedKey is the key of the request context whose value is a *bool, which Dispatch sets once
+// the request has entered the gate.
+type passedKey struct{}
+
+// behindGate returns handler behind the gate. A request that was passed on leaves the gate when
+// its answer is written.
+func (n *Node) behindGate(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.openRequests.Add(1)
-		defer n.openRequests.Add(-1)
-		handler.ServeHTTP(w, r)
+		passed := false
+		defer func() {
+			if passed {
+				n.gate.Leave()
+			}
+		}()
+		handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), passedKey{}, &passed)))
 	})
 }
 
+// enterGate reports whether a caller's call may be passed on. It refuses those of clients while
+// the node refuses them; on the users' platform they are told from calls of the backend server
+// by the route.
+func (n *Node) enterGate(ctx context.Context, call *caller.Call) bool {
+	internal := n.config.Platform == nil || n.dispatcher.IsInternal(call.Route)
+	if !n.gate.Enter(call.Deadline, internal) {
+		return false
+	}
+	if passed, ok := ctx.Value(passedKey{}).(*bool); ok {
+		*passed = true
+	}
+	return true
+}
+
 // expvarOnce publishes only the metrics of the first node in a process. Their names
 // are process-wide, and tests run several nodes.
 var expvarOnce sync.Once
@@ -316,9 +339,8 @@
 
 // Dispatch makes a caller's call. A draining node refuses new requests of clients, but
 // still makes the calls of its backend server, because requests that run there depend
-// on them. On the users' platform, it refuses clients' requests only after
-// refuseRequests was called, and tells them from calls of the backend server by the
-// route.
+// on them. On the users' platform, it refuses clients' requests only after the linger time, and
+// those that may outlive the stop a little earlier.
 func (n *Node) Dispatch(ctx context.Context, call *caller.Call) *caller.Answer {
 	select {
 	case <-n.draining:
@@ -327,7 +349,7 @@
 		}
 	default:
 	}
-	if n.refusingRequests.Load() && !n.dispatcher.IsInternal(call.Route) {
+	if !n.enterGate(ctx, call) {
 		answer := caller.NewFailure(caller.NotRun, caller.ReasonLeaving)
 		answer.RetryAfter = leavingRetryAfter
 		return answer
