Close no connection while a request may be passed on

Seen by callers: a few requests in hundreds of thousands ran and got no answer, all within milliseconds of the moment at which a stopping node begins to refuse requests (LOST), on internal routes.

Cause: SetKeepAlivesEnabled closes connections that net/http counts as idle until it has parsed a whole request. A handler that starts then passes the request on, and its answer has nowhere to go.

Evidence: a listener whose connections hold back what they have read shows status 0 and 1 run while the node lives on (TestPlatformRequestReadAsTheNodeRefusesIsCutOff failed before the change).

Change: the node asks callers to close their connections in its answers and closes none itself while a request may be passed on.

Why it works: once a connection may be closed, every request that is read is refused and does not run.

--- a/internal/process/runner/drain.go
+++ b/internal/process/runner/drain.go
@@ -117,7 +117,6 @@
 func (n *Node) refuseClients() <-chan struct{} {
 	if n.config.Platform != nil {
 		n.gate.RefuseClients()
-		n.callServer.SetKeepAlivesEnabled(false)
 	}
 	return after(0)
 }
--- a/internal/process/runner/listeners.go
+++ b/internal/process/runner/listeners.go
@@ -83,8 +83,8 @@
 	return deadline
 }
 
-// addServer adds an HTTP server on listener to group and returns it.
-func (n *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) *http.Server {
+// addServer adds an HTTP server on listener to group.
+func (n *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler,
 	}
@@ -99,5 +99,4 @@
 		defer cancel()
 		server.Shutdown(ctx)
 	})
-	return server
 }
--- a/internal/process/runner/platform_stop_test.go
+++ b/internal/process/runner/platform_stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -121,6 +122,120 @@
 	}
 }
 
+// holdingListener is a listener whose first connection that reads something while hold is set
+// keeps it from the server until release, like a server whose goroutines get no processor time.
+// Its later reads wait for the end of the test.
+type holdingListener struct {
+	net.Listener
+	hold    atomic.Bool
+	held    chan struct{}
+	release chan struct{}
+	end     chan struct{}
+}
+
+type holdingConn struct {
+	net.Conn
+	listener *holdingListener
+	wasHeld  atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *holdingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &holdingConn{
+		Conn:     conn,
+		listener: l,
+	}, err
+}
+
+// Read implements net.Conn.
+func (c *holdingConn) Read(p []byte) (int, error) {
+	if c.wasHeld.Load() {
+		<-c.listener.end
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.listener.hold.CompareAndSwap(true, false) {
+		c.wasHeld.Store(true)
+		close(c.listener.held)
+		<-c.listener.release
+	}
+	return n, err
+}
+
+// TestPlatformRequestReadAsTheNodeRefusesIsCutOff guards against a request that is passed on after
+// its connection was closed: the node reads it in the moment in which it begins to refuse requests,
+// or ends. The route counts as internal, so that the node makes its calls to the end.
+func TestPlatformRequestReadAsTheNodeRefusesIsCutOff(t *testing.T) {
+	for name, afterEnd := range map[string]bool{"refusing": false, "ended": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			target, leaving := d.startPair()
+			leaving.stop()
+			<-leaving.done
+			listener := &holdingListener{
+				held:    make(chan struct{}),
+				release: make(chan struct{}),
+				end:     make(chan struct{}),
+			}
+			defer close(listener.end)
+			leaving.wrapCalls = func(calls net.Listener) net.Listener {
+				listener.Listener = calls
+				return listener
+			}
+			d.runNode(leaving)
+			d.reportState(leaving, "ready")
+			d.awaitReady(target, leaving)
+			d.eventually("an internal route", func() bool {
+				d.send(leaving, "GET", "/safe/1", "r")
+				return leaving.node.dispatcher.IsInternal("safe")
+			})
+			conn, err := net.Dial("tcp", leaving.config.CallAddress.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			request := func(id string) {
+				fmt.Fprintf(conn, "GET /safe/1 HTTP/1.1\r\nHost: h.example\r\nX-Laburnumshelf-Request-Id: %s\r\n\r\n", id)
+			}
+			request("first")
+			if status, _ := readStatus(reader); status != http.StatusOK {
+				t.Fatalf("first request: got status %d, want 200", status)
+			}
+			target.delay.Store(int64(1500 * time.Millisecond))
+			leaving.node.Drain()
+			time.Sleep(lingerTime - 500*time.Millisecond)
+			open := make(chan answer, 1)
+			go func() {
+				open <- d.send(leaving, "POST", "/once/1", "open")
+			}()
+			d.eventually("an open request", func() bool {
+				return target.runsOf("open") == 1
+			})
+			target.delay.Store(0)
+			listener.hold.Store(true)
+			request("held")
+			<-listener.held
+			if afterEnd {
+				<-leaving.done
+			} else {
+				time.Sleep(time.Second)
+			}
+			close(listener.release)
+			conn.SetReadDeadline(time.Now().Add(waitTimeout))
+			status, _ := readStatus(reader)
+			// If the connection is closed, the request may still be passed on.
+			time.Sleep(200 * time.Millisecond)
+			if runs := target.runsOf("held"); runs > 0 != (status == http.StatusOK) {
+				t.Errorf("held request: got status %d and %d runs, want an answer if and only if it ran", status, runs)
+			}
+			if got := <-open; got.status != http.StatusOK {
+				t.Errorf("open request: got status %d, want 200", got.status)
+			}
+		})
+	}
+}
+
 // TestPlatformLateRequestsAreCutAtTheEndOfTheStop guards against requests that are passed on late
 // in a planned stop although they may outlive it, by clients and on routes that count as internal.
 func TestPlatformLateRequestsAreCutAtTheEndOfTheStop(t *testing.T) {
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -79,8 +79,6 @@
 
 	listeners   listeners
 	callHandler http.Handler
-	// callServer serves callers.
-	callServer *http.Server
 	// gate decides which requests of callers are passed on.
 	gate *gatekeeper.Gatekeeper
 	// stopTimeout is the longest duration of a graceful stop (the drain and the
@@ -236,6 +234,9 @@
 				n.gate.Leave()
 			}
 		}()
+		if n.gate.RefusesClients() {
+			w.Header().Set("Connection", "close")
+		}
 		handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), passedKey{}, &passed)))
 	})
 }
@@ -363,7 +364,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	n.callServer = n.addServer(&group, n.listeners.calls, n.callHandler)
+	n.addServer(&group, n.listeners.calls, n.callHandler)
 	n.addServer(&group, n.listeners.admin, administrator.New(n))
 	group.Add(func() error {
 		return n.acceptor.Serve(n.listeners.peers)
