Keep each start that left, not the last one told

An earlier start under the same ID, which members tell late, replaced the later one in the registrar's memory. A late heartbeat "ready" of the start that leaves was then late instead of counting as draining, so its lease could lapse and the start could register as ready. Found while reading the change; not seen by callers. TestEarlierStartThatLeftHidesALaterOne failed before.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -117,9 +117,21 @@
 	// start time of its latest deregistered start, or to the zero time if that is
 	// unknown.
 	deregistered map[string]time.Time
-	// leaving maps the ID of each backend server that MarkLeaving was called for to the start
-	// time of the latest call.
-	leaving map[string]time.Time
+	// leaving holds the starts that MarkLeaving was called for.
+	leaving map[startKey]bool
+}
+
+// startKey identifies one start of a backend server.
+type startKey struct {
+	id            string
+	bornUnixMilli int64
+}
+
+func keyOf(id string, born time.Time) startKey {
+	return startKey{
+		id:            id,
+		bornUnixMilli: born.UnixMilli(),
+	}
 }
 
 // New returns a Registrar without a registration.
@@ -127,7 +139,7 @@
 	return &Registrar{
 		config:       config,
 		deregistered: make(map[string]time.Time),
-		leaving:      make(map[string]time.Time),
+		leaving:      make(map[startKey]bool),
 	}
 }
 
@@ -156,7 +168,7 @@
 	if beat.Service != r.config.Service || beat.Address != r.config.Address {
 		return Foreign
 	}
-	if beat.State == Ready && r.isLeaving(beat.ID, beat.Born) {
+	if beat.State == Ready && r.leaving[keyOf(beat.ID, beat.Born)] {
 		beat.State = Draining
 	}
 	if r.isLate(now, beat) {
@@ -208,7 +220,7 @@
 // MarkLeaving records that a start of a backend server takes no new work, whether it is
 // registered or not. Its heartbeats count as Draining from then on.
 func (r *Registrar) MarkLeaving(id string, born time.Time) {
-	r.leaving[id] = born
+	r.leaving[keyOf(id, born)] = true
 	if id != r.current.ID || !born.Equal(r.current.Born) {
 		return
 	}
@@ -218,12 +230,6 @@
 	}
 }
 
-// isLeaving reports whether the start was marked as leaving.
-func (r *Registrar) isLeaving(id string, born time.Time) bool {
-	leaving, ok := r.leaving[id]
-	return ok && leaving.Equal(born)
-}
-
 // Deregister records that a start of a backend server has ended, so that its
 // later heartbeats are rejected. If born is zero, Deregister uses the start time of the
 // registered backend server, if that has the ID.
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -206,3 +206,18 @@
 		t.Errorf("deregistered: got %s, leaving %t, want gone, leaving", got.State, got.Leaving)
 	}
 }
+
+// TestEarlierStartThatLeftHidesALaterOne guards against what other members tell late of an earlier
+// start under the same ID.
+func TestEarlierStartThatLeftHidesALaterOne(t *testing.T) {
+	r := newRegistrar()
+	r.Heartbeat(start, heartbeat("a", time.Second, 1, Ready))
+	r.MarkDraining("a")
+	r.MarkLeaving("a", start)
+	if got := r.Heartbeat(start, heartbeat("a", time.Second, 2, Ready)); got != Taken {
+		t.Errorf("heartbeat of the start that leaves: got verdict %s, want taken", got)
+	}
+	if got := r.Current(start); got.State != Draining {
+		t.Errorf("got %s, want draining", got.State)
+	}
+}
