--- a/internal/process/enroller/enroller_test.go
+++ b/internal/process/enroller/enroller_test.go
@@ -16,40 +16,65 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/process/registrar"
 )
 
+const interval = time.Second
+
+// newEnroller returns an enroller whose backend server sends heartbeats with the state that
+// state returns, to /beat/a, and deregisters at /gone/a. change may change the configuration.
+func newEnroller(state func() registrar.State, change func(*Config)) *Enroller {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	sequence := uint64(0)
+	config := Config{
+		Protocol: Protocol{
+			HeartbeatPath:  "/beat/",
+			DeregisterPath: "/gone/",
+			DecodeHeartbeat: func(string, []byte) (registrar.Heartbeat, error) {
+				sequence++
+				return registrar.Heartbeat{
+					ID:       "a",
+					Address:  address,
+					Service:  "allot",
+					Slots:    10,
+					Born:     time.Unix(9, 0),
+					State:    state(),
+					Sequence: sequence,
+				}, nil
+			},
+			DecodeDeregistration: func(string, []byte) (string, time.Time, error) {
+				return "a", time.Time{}, nil
+			},
+		},
+		Service:  "allot",
+		Address:  address,
+		Interval: interval,
+		OnChange: func(registrar.Registration) {},
+		Log:      log,
+	}
+	change(&config)
+	return New(config)
+}
+
+// post sends a request to the enroller and returns how long the answer took.
+func post(e *Enroller, path string) time.Duration {
+	started := time.Now()
+	e.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", path, strings.NewReader("{}")))
+	return time.Since(started)
+}
+
 // TestPausedNodeDoesNotDropItsBackendServer lets a node stand still for longer than the
 // lease. The backend server must stay registered until it is silent for a lease in which the
 // node ran.
 func TestPausedNodeDoesNotDropItsBackendServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const interval = time.Second
-		address := netip.MustParseAddrPort("10.0.0.1:80")
-		log := logrus.New()
-		log.SetOutput(io.Discard)
 		var state registrar.State
-		e := New(Config{
-			Protocol: Protocol{
-				HeartbeatPath:  "/beat/",
-				DeregisterPath: "/gone/",
-				DecodeHeartbeat: func(string, []byte) (registrar.Heartbeat, error) {
-					return registrar.Heartbeat{
-						ID:       "a",
-						Address:  address,
-						Service:  "allot",
-						Slots:    10,
-						State:    registrar.Ready,
-						Sequence: 1,
-					}, nil
-				},
-			},
-			Service:  "allot",
-			Address:  address,
-			Interval: interval,
-			OnChange: func(registration registrar.Registration) {
+		ready := func() registrar.State { return registrar.Ready }
+		e := newEnroller(ready, func(config *Config) {
+			config.OnChange = func(registration registrar.Registration) {
 				state = registration.State
-			},
-			Log: log,
+			}
 		})
-		e.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/beat/a", strings.NewReader("{}")))
+		post(e, "/beat/a")
 		const pause = 20 * time.Second
 		time.Sleep(pause)
 		e.checkLease(pause)
@@ -70,55 +95,25 @@
 // process, and against an acknowledgement that a silent store delays.
 func TestAcknowledgedLeavingIsNotStored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const interval = time.Second
-		address := netip.MustParseAddrPort("10.0.0.1:80")
-		log := logrus.New()
-		log.SetOutput(io.Discard)
 		state := registrar.Ready
 		var storeAway atomic.Bool
 		storeAway.Store(true)
 		stored := make(chan registrar.Registration, 10)
-		e := New(Config{
-			Protocol: Protocol{
-				HeartbeatPath:  "/beat/",
-				DeregisterPath: "/gone/",
-				DecodeHeartbeat: func(string, []byte) (registrar.Heartbeat, error) {
-					return registrar.Heartbeat{
-						ID:       "a",
-						Address:  address,
-						Service:  "allot",
-						Born:     time.Unix(9, 0),
-						State:    state,
-						Sequence: uint64(time.Now().UnixNano()),
-					}, nil
-				},
-				DecodeDeregistration: func(string, []byte) (string, time.Time, error) {
-					return "a", time.Time{}, nil
-				},
-			},
-			Service:  "allot",
-			Address:  address,
-			Interval: interval,
-			OnChange: func(registrar.Registration) {},
-			RecordLeaving: func(ctx context.Context, registration registrar.Registration) error {
+		current := func() registrar.State { return state }
+		e := newEnroller(current, func(config *Config) {
+			config.RecordLeaving = func(ctx context.Context, registration registrar.Registration) error {
 				if storeAway.Load() {
 					<-ctx.Done()
 					return ctx.Err()
 				}
 				stored <- registration
 				return nil
-			},
-			Log: log,
+			}
 		})
-		post := func(path string) time.Duration {
-			started := time.Now()
-			e.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", path, strings.NewReader("{}")))
-			return time.Since(started)
-		}
-		post("/beat/a")
+		post(e, "/beat/a")
 		state = registrar.Draining
 		time.Sleep(interval)
-		if got := post("/beat/a"); got > recordTimeout {
+		if got := post(e, "/beat/a"); got > recordTimeout {
 			t.Errorf("store away: got the acknowledgement after %s, want at most %s", got, recordTimeout)
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -127,7 +122,7 @@
 		storeAway.Store(false)
 		time.Sleep(2 * interval)
 		cancel()
-		post("/gone/a")
+		post(e, "/gone/a")
 		if len(stored) != 1 {
 			t.Fatalf("after the store is back: got %d stored, want one", len(stored))
 		}
