Leave time for open requests in a short planned stop

With a stop timeout of about 3.5 s or less, callers would have seen requests passed on until the cut, and cut there: the linger time of 3 s never ended.

Cause: the linger time did not depend on the stop timeout.

Evidence: TestPlatformShortStopTakesRequestsUntilItsEnd got status 502 and 1 run for a request in the second half of a stop of 3 s.

Change: the linger time takes two thirds of the time until the cut at most. With 6 s and more it stays 3 s.

Result: the test passes; the tests of drains and stops do.

--- a/internal/process/runner/drain.go
+++ b/internal/process/runner/drain.go
@@ -51,6 +51,10 @@
 // caller counts the linger time from the signal, which may be handled late.
 const certainMargin = 300 * time.Millisecond
 
+// maxLingerThirds is how many thirds of the time until open calls are cut the linger time may
+// take.
+const maxLingerThirds = 2
+
 // awaitDrain returns once the node has drained, shortly before the stop timeout
 // ends, or when ctx is done. No request is passed on after that, since its connection may
 // already be closing.
@@ -67,9 +71,10 @@
 	timeout := time.NewTimer(untilCut)
 	defer timeout.Stop()
 	// Callers may send requests until the linger time ends, so the node waits for
-	// open calls only after that.
+	// open calls only after that. A short stop must leave time for that too.
+	linger := min(lingerTime, untilCut*maxLingerThirds/3)
 	steps := []func() <-chan struct{}{
-		func() <-chan struct{} { return after(lingerTime - certainMargin) },
+		func() <-chan struct{} { return after(linger - certainMargin) },
 		func() <-chan struct{} { return n.requireEnd(cut) },
 		n.refuseClients,
 		n.executor.Idle,
--- a/internal/process/runner/platform_stop_test.go
+++ b/internal/process/runner/platform_stop_test.go
@@ -282,3 +282,29 @@
 	requests.Wait()
 	<-leaving.done
 }
+
+// TestPlatformShortStopTakesRequestsUntilItsEnd guards against a stop that is shorter than the usual
+// linger time, in which all requests are passed on and cut.
+func TestPlatformShortStopTakesRequestsUntilItsEnd(t *testing.T) {
+	const stopTimeout = 3 * time.Second
+	d := newDeployment(t)
+	target, leaving := d.startPair()
+	leaving.node.stopTimeout.Store(int64(stopTimeout))
+	target.delay.Store(int64(1500 * time.Millisecond))
+	leaving.node.Drain()
+	open := make(chan answer, 1)
+	go func() {
+		open <- d.send(leaving, "POST", "/once/1", "open")
+	}()
+	time.Sleep(stopTimeout / 2)
+	if got := d.send(leaving, "POST", "/once/1", "late"); got.status != http.StatusServiceUnavailable {
+		t.Errorf("request in the second half of the stop: got status %d, want 503", got.status)
+	}
+	if got := target.runsOf("late"); got != 0 {
+		t.Errorf("request in the second half of the stop: got %d runs, want none", got)
+	}
+	if got := <-open; got.status != http.StatusOK {
+		t.Errorf("request at the start of the stop: got status %d, want 200", got.status)
+	}
+	<-leaving.done
+}
