Watch the process settings from before they are first read

An operator would see settings that never come into force; a SIGHUP in the same moment would end the node.

Cause: the node took the modification time to compare with, and began to handle SIGHUP, in a goroutine that starts after the settings were read. A change between the two was taken for the known state.

Evidence: the node was healthy and logged nothing else; the test changes the file as soon as the node is healthy, which may be before that goroutine runs.

Change: both happen before the first read.

--- a/internal/cli/commander/cmd_node.go
+++ b/internal/cli/commander/cmd_node.go
@@ -44,6 +44,11 @@
 
 // Execute implements flags.Commander.
 func (n *nodeRun) Execute([]string) error {
+	// A SIGHUP or a change of the file from here on is not missed, however long the start takes.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	file := newWatchedFile(n.Config)
 	config, err := n.readConfig()
 	if err != nil {
 		return err
@@ -65,7 +70,7 @@
 		<-signals
 		cancel()
 	}()
-	go n.watchConfig(ctx, node, log)
+	go n.watchConfig(ctx, node, log, hangups, file)
 	return node.Run(ctx)
 }
 
@@ -76,13 +81,9 @@
 // watchConfig reloads the process settings file after SIGHUP and when its modification
 // time changes. If the new process settings are invalid, the node keeps the previous
 // ones.
-func (n *nodeRun) watchConfig(ctx context.Context, node *runner.Node, log *logrus.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (n *nodeRun) watchConfig(ctx context.Context, node *runner.Node, log *logrus.Logger, hangups <-chan os.Signal, file *watchedFile) {
 	ticker := time.NewTicker(filePollInterval)
 	defer ticker.Stop()
-	lastModTime := modTime(n.Config)
 	for {
 		cause := "file changed"
 		select {
@@ -90,12 +91,12 @@
 			return
 		case <-hangups:
 			cause = "SIGHUP"
+			file.takeChange()
 		case <-ticker.C:
-			if modTime(n.Config).Equal(lastModTime) {
+			if !file.takeChange() {
 				continue
 			}
 		}
-		lastModTime = modTime(n.Config)
 		config, err := n.readConfig()
 		if err != nil {
 			log.WithError(err).WithField("cause", cause).Error("settings not reloaded; the previous settings stay in force")
@@ -105,6 +106,29 @@
 	}
 }
 
+// watchedFile tells whether a file has changed since it was last read. Create it before the
+// first read.
+type watchedFile struct {
+	path        string
+	lastModTime time.Time
+}
+
+func newWatchedFile(path string) *watchedFile {
+	return &watchedFile{
+		path:        path,
+		lastModTime: modTime(path),
+	}
+}
+
+// takeChange reports whether the file has changed since the last call. The caller reads the
+// file after it.
+func (w *watchedFile) takeChange() bool {
+	current := modTime(w.path)
+	changed := !current.Equal(w.lastModTime)
+	w.lastModTime = current
+	return changed
+}
+
 // modTime returns the modification time of the file, or the zero time if it is
 // unknown.
 func modTime(file string) time.Time {
