--- a/cmd/laburnumshelf/stop_soak_test.go
+++ b/cmd/laburnumshelf/stop_soak_test.go
@@ -423,7 +423,7 @@
 	s.t.Logf("seed %d: %d stops, %d requests by status %s, %d broken", seed, stops, len(s.exchanges), counts, broken)
 }
 
-// soakSettings are read from the environment for a long run by hand.
+// soakSetting returns a number from the environment, for a long run by hand, or short without one.
 func soakSetting(name string, short int) int {
 	value, _ := strconv.Atoi(os.Getenv(name))
 	return cmp.Or(value, short)
