Log what ended a call that gets an answer of the node's own

The log could not tell an attempt that the node gave up from one that ended at the deadline, with its session, with its caller or with a stop: answer lines say timeout or connectionLost, and lines of calls are dropped under load. A finish line, with a limit of its own, and the counters callEnds now say what ended the last attempt, how long it ran, how much time was left, how many attempts are without a word of the target's node, and why no other followed. Routing is unchanged.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -170,7 +170,17 @@
 	if err != nil {
 		return nil, caller.MarkNotSent(err)
 	}
-	return exchange(ctx, stream, call)
+	answer, err := exchange(ctx, stream, call)
+	if err != nil && d.isClosed() {
+		err = errors.Mark(err, caller.ErrStopping)
+	}
+	return answer, err
+}
+
+func (d *Dialer) isClosed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.closed
 }
 
 // exchange sends the call on a new stream and returns its answer. Closing the
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -243,6 +243,7 @@
 func (n *Node) initCallHandler(inbound *tracker.Table) {
 	expvarOnce.Do(func() {
 		expvar.Publish("decisions", n.recorder.Var())
+		expvar.Publish("callEnds", n.recorder.EndsVar())
 		expvar.Publish("admission", n.dispatcher.AdmissionVar())
 		expvar.Publish("callMicros", n.recorder.CallLatency.Var())
 		expvar.Publish("runMicros", n.recorder.RunLatency.Var())
--- a/internal/request/caller/errors.go
+++ b/internal/request/caller/errors.go
@@ -12,3 +12,6 @@
 
 // ErrRequestBody marks a failure to read the caller's request body.
 var ErrRequestBody = errors.New("could not read the request body")
+
+// ErrStopping marks a failure because this node closed its sessions to stop.
+var ErrStopping = errors.New("node is stopping")
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -52,6 +52,8 @@
 	rateLimit float64
 	// ticket is that of the request's admission where the rationer decides.
 	ticket rationer.Ticket
+	// end describes the last attempt, in case no other follows.
+	end recorder.End
 }
 
 // prepare refuses calls that must not be attempted, and sets the retry pool of the
@@ -204,6 +206,7 @@
 func (o *outboundCall) attempt(ctx context.Context) *caller.Answer {
 	target, reason := o.chooseTarget()
 	if target == nil {
+		o.noAttempt(recorder.NoOtherTarget)
 		outcome := caller.NotRun
 		if o.call.Token != nil && !o.hasExclusiveToken() || o.mayHaveRun {
 			outcome = caller.Unknown
@@ -224,6 +227,7 @@
 	call.RateLimit = o.rateLimit
 	o.shortenWait(&call)
 	call.Allowance = o.lendAllowance()
+	started := time.Now()
 	action := recorder.Route
 	if call.ResolveOnly {
 		action = recorder.Resolve
@@ -234,9 +238,11 @@
 	o.d.record(&call, action, reason, caller.Answered, id, 0)
 	ctx, answer, err := o.sendWithTimeout(ctx, target, &call)
 	o.attemptCount++
+	o.end.AttemptTime = time.Since(started)
 	if err != nil {
 		return o.answerForError(ctx, &call, id, err)
 	}
+	o.end.Cause, o.end.Detail = recorder.EndedByTarget, answer.Detail
 	o.reclaimAllowance(answer)
 	if answer.Reason == caller.ReasonIncarnation && o.hasExclusiveToken() {
 		// The only copy of the token reached an incarnation that never runs the call.
@@ -276,6 +282,10 @@
 func (o *outboundCall) answerForError(ctx context.Context, call *caller.Call, target string, err error) *caller.Answer {
 	answer := caller.NewFailure(caller.Unknown, caller.ReasonConnectionLost)
 	answer.Detail = err.Error()
+	o.end.Cause, o.end.Detail = endOf(ctx, err), answer.Detail
+	if !errors.Is(err, caller.ErrNotSent) {
+		o.end.Unanswered++
+	}
 	switch {
 	case errors.Is(err, caller.ErrNotSent):
 		answer.Reason = caller.ReasonUnreachable
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -229,6 +229,7 @@
 		o.parent.RecordChildStart(time.Now())
 	}
 	answer := o.makeAttempts(ctx)
+	o.recordEnd(answer)
 	o.returnQuota()
 	o.recordAnswer(ctx, answer)
 	o.finish(answer)
--- a/internal/request/dispatcher/repeat.go
+++ b/internal/request/dispatcher/repeat.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/retrier"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
@@ -116,6 +117,7 @@
 // with a token is sent again only after a refusal.
 func (o *outboundCall) spendRepeat(answer *caller.Answer) bool {
 	if !o.repeatable() {
+		o.noAttempt(recorder.NoRepeatOfCall)
 		return false
 	}
 	refused := answer.Outcome == caller.NotRun
@@ -126,9 +128,17 @@
 	o.d.mu.Unlock()
 	failedAtLeaf := internal && leaf && (answer.Outcome != caller.Answered || answer.Status >= 500)
 	if !refused && !failedAtLeaf {
+		o.noAttempt(recorder.NoRepeatOfRuns)
 		return false
 	}
-	o.repeated = !o.d.overloaded(o.call.Service) && o.d.repeatBudget(o.call).Withdraw(now)
+	if o.d.overloaded(o.call.Service) {
+		o.noAttempt(recorder.NoRoomAtService)
+		return false
+	}
+	o.repeated = o.d.repeatBudget(o.call).Withdraw(now)
+	if !o.repeated {
+		o.noAttempt(recorder.NoRepeatInBudget)
+	}
 	return o.repeated
 }
 
--- a/internal/request/dispatcher/retry.go
+++ b/internal/request/dispatcher/retry.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/retrier"
@@ -11,7 +13,19 @@
 
 // next reports whether another attempt follows, and the reason.
 func (o *outboundCall) next(ctx context.Context, answer *caller.Answer) (bool, caller.Reason) {
-	if ctx.Err() != nil || o.d.config.Switches.NoRetries || o.attemptCount >= maxAttempts {
+	o.noAttempt(recorder.NoRetryForReason)
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		o.noAttempt(recorder.NoTimeLeft)
+		return false, 0
+	case ctx.Err() != nil:
+		o.noAttempt(recorder.NoCaller)
+		return false, 0
+	case o.d.config.Switches.NoRetries:
+		o.noAttempt(recorder.NoRetriesAllowed)
+		return false, 0
+	case o.attemptCount >= maxAttempts:
+		o.noAttempt(recorder.NoMoreAttempts)
 		return false, 0
 	}
 	if o.call.Token != nil {
@@ -54,9 +68,11 @@
 // a retry if the beginning of the request body is no longer kept.
 func (o *outboundCall) spendRetry(reason caller.Reason) (bool, caller.Reason) {
 	if !o.call.Body.Replayable() {
+		o.noAttempt(recorder.NoRepeatOfCall)
 		return false, reason
 	}
 	if !o.pool.Spend() {
+		o.noAttempt(recorder.NoAllowanceLeft)
 		o.d.record(o.call, recorder.Refuse, caller.ReasonAllowance, caller.NotRun, "", 0)
 		return false, caller.ReasonAllowance
 	}
@@ -65,6 +81,7 @@
 	// others put no load on a backend server.
 	exempt := o.call.MaxTargets > 0
 	if !exempt && !o.d.config.Switches.NoRetryBudget && !o.d.retryBudget(o.call.Service).Withdraw() {
+		o.noAttempt(recorder.NoRetryInBudget)
 		o.d.record(o.call, recorder.Refuse, caller.ReasonRetryBudget, caller.NotRun, "", 0)
 		return false, caller.ReasonRetryBudget
 	}
--- a/internal/request/dispatcher/token.go
+++ b/internal/request/dispatcher/token.go
@@ -4,6 +4,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/deduplicator"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/estimator"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 )
 
 // ensureToken makes sure that a non-idempotent call carries a token. It issues one if
@@ -46,6 +47,7 @@
 	}
 	if answer.ReachedBackend && answer.Outcome == caller.Unknown {
 		// The target's node has already reported all it knows about the call.
+		o.noAttempt(recorder.NoOutcomeOfTarget)
 		return false, 0
 	}
 	overloaded := answer.Reason.IsOverload() && o.isOverloaded(answer)
--- a/internal/request/recorder/recorder.go
+++ b/internal/request/recorder/recorder.go
@@ -45,9 +45,11 @@
 	// Place means that a change of a member was applied to routing. It is only logged;
 	// no Decision has it.
 	Place
+	// Finish means that a call ended with an answer of the node's own although it may have run.
+	Finish
 )
 
-var actionNames = []string{"route", "retry", "admit", "refuse", "resolve", "answer", "replay", "place"}
+var actionNames = []string{"route", "retry", "admit", "refuse", "resolve", "answer", "replay", "place", "finish"}
 
 // String returns the name used in logs, counters and JSON.
 func (a Action) String() string {
@@ -98,6 +100,8 @@
 	Bottleneck string
 	Pressure   float64
 	Admitted   float64
+	// End is set if Action is Finish.
+	End *End
 	// lineWritten reports whether the decision's log line was written.
 	lineWritten bool
 }
@@ -143,6 +147,14 @@
 	Bottleneck string  `json:"bottleneck,omitempty"`
 	Pressure   float64 `json:"pressure,omitempty"`
 	Admitted   float64 `json:"admitted,omitempty"`
+
+	// The end of a call, see End.
+	EndedBy     string `json:"endedBy,omitempty"`
+	AttemptTime string `json:"attemptTime,omitempty"`
+	TimeLeft    string `json:"timeLeft,omitempty"`
+	Unanswered  int    `json:"unanswered,omitempty"`
+	NoAttempt   string `json:"noAttempt,omitempty"`
+	Detail      string `json:"detail,omitempty"`
 }
 
 // Export returns the JSON form of the decision, made at node.
@@ -187,6 +199,14 @@
 	if d.Wait > 0 {
 		exported.Wait = d.Wait.String()
 	}
+	if d.End != nil {
+		exported.EndedBy = d.End.Cause.String()
+		exported.AttemptTime = d.End.AttemptTime.String()
+		exported.TimeLeft = d.End.TimeLeft.String()
+		exported.Unanswered = d.End.Unanswered
+		exported.NoAttempt = string(d.End.NoAttempt)
+		exported.Detail = d.End.Detail
+	}
 	return exported
 }
 
@@ -196,6 +216,7 @@
 	log      *logrus.Logger
 	node     string
 	counters [actionCount][reasonCount]atomic.Int64
+	ends     endCounters
 
 	// CallLatency is the time that callers waited for an answer. RunLatency is the
 	// time that the backend server took.
@@ -207,6 +228,8 @@
 	// routineLines and otherLines limit the rate of log lines.
 	routineLines lineLimiter
 	otherLines   lineLimiter
+	// finishLines is apart, so that refusals under overload do not use it up.
+	finishLines lineLimiter
 }
 
 // Limits of the rate of log lines. At the size that the system is designed for, a
@@ -215,6 +238,7 @@
 const (
 	routineLinesPerSecond = 100
 	otherLinesPerSecond   = 200
+	finishLinesPerSecond  = 50
 )
 
 // omittedLines counts the log lines that were omitted at first, including those that
@@ -237,7 +261,7 @@
 }
 
 const (
-	actionCount = 8
+	actionCount = 9
 	reasonCount = caller.MaxReason + 1
 )
 
@@ -260,6 +284,9 @@
 func (r *Recorder) Record(d Decision) {
 	d.Time = time.Now()
 	r.counters[d.Action][d.Reason].Add(1)
+	if d.End != nil {
+		r.ends.add(d.End)
+	}
 	logging := r.log != nil && r.log.IsLevelEnabled(logrus.InfoLevel)
 	for _, line := range r.storeAndSelectLines(d, logging) {
 		r.writeLine(line)
@@ -307,6 +334,16 @@
 		fields["pressure"] = d.Pressure
 		fields["admitted"] = d.Admitted
 	}
+	if d.End != nil {
+		fields["endedBy"] = d.End.Cause.String()
+		fields["attemptTime"] = d.End.AttemptTime
+		fields["timeLeft"] = d.End.TimeLeft
+		fields["unanswered"] = d.End.Unanswered
+		fields["noAttempt"] = string(d.End.NoAttempt)
+		if d.End.Detail != "" {
+			fields["detail"] = d.End.Detail
+		}
+	}
 	r.log.WithTime(d.Time).WithFields(fields).Info("decision")
 }
 
@@ -327,9 +364,12 @@
 // none if d exceeds its rate limit. If d is not routine, the omitted lines of the same
 // request come first. The caller holds r.mu.
 func (r *Recorder) selectLines(d *Decision) []Decision {
-	if d.isRoutine() {
+	switch {
+	case d.isRoutine():
 		d.lineWritten = r.routineLines.allow(d.Time, routineLinesPerSecond)
-	} else {
+	case d.Action == Finish:
+		d.lineWritten = r.finishLines.allow(d.Time, finishLinesPerSecond)
+	default:
 		d.lineWritten = r.otherLines.allow(d.Time, otherLinesPerSecond)
 	}
 	if !d.lineWritten {
