End an overdue call whose connection is severed

A hedged call without a permit for another attempt waited until its deadline on a connection that delivers nothing any more. Its answer can not arrive there. An overdue attempt now makes the dialer check the session: if it does not answer a ping in 100 ms, a new one is opened, on which later calls go, and if the peer answers there while the old one is still silent, the overdue call ends. A peer that is slow or gone answers on neither, so its calls go on.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -151,7 +151,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.open(ctx, false)
+	stream, _, err := p.open(ctx, false)
+	return stream, err
 }
 
 // Call implements caller.Transport.
@@ -166,10 +167,13 @@
 	}
 	// A call that only asks for the outcome of an earlier attempt uses a new session,
 	// because a fault of the old session may have lost the answer.
-	stream, err := p.open(ctx, call.ResolveOnly)
+	stream, s, err := p.open(ctx, call.ResolveOnly)
 	if err != nil {
 		return nil, caller.MarkNotSent(err)
 	}
+	call.Overdue.Handle(func() {
+		s.endIfSevered(stream)
+	})
 	answer, err := exchange(ctx, stream, call)
 	if err != nil && d.isClosed() {
 		err = errors.Mark(err, caller.ErrStopping)
--- a/internal/connection/dialer/peer.go
+++ b/internal/connection/dialer/peer.go
@@ -35,6 +35,13 @@
 	lastOpen atomic.Int64 // Unix time in nanoseconds
 	// probing is set while a probe waits for its answer.
 	probing atomic.Bool
+
+	// checking is held while the session is checked for an overdue call. It guards the fields
+	// below, and is taken before the locks of the peer and the dialer.
+	checking sync.Mutex
+	// checked is the end of the last check.
+	checked time.Time
+	severed bool
 }
 
 // trackedConn records when it last received data.
@@ -76,27 +83,27 @@
 	}
 }
 
-// open opens a stream. It opens a new session first if there is none or if forceNew
-// is set.
-func (p *peer) open(ctx context.Context, forceNew bool) (*yamux.Stream, error) {
+// open opens a stream and returns it with its session. It opens a new session first if there is
+// none or if forceNew is set.
+func (p *peer) open(ctx context.Context, forceNew bool) (*yamux.Stream, *session, error) {
 	s := p.usableSession()
 	if s == nil || forceNew {
 		var err error
 		if s, err = p.connect(ctx, s); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	stream, err := s.openStream()
 	if err != nil {
 		// The session ended after the check above. Retry once with a new one.
 		if s, err = p.connect(ctx, s); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if stream, err = s.openStream(); err != nil {
-			return nil, errors.Wrapf(err, "open stream to %s", p.address)
+			return nil, nil, errors.Wrapf(err, "open stream to %s", p.address)
 		}
 	}
-	return stream, nil
+	return stream, s, nil
 }
 
 func (s *session) openStream() (*yamux.Stream, error) {
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -239,6 +239,8 @@
 	// Zone is the availability zone of the caller's node.
 	Zone string
 	Body *Body
+	// Overdue tells when an attempt takes much longer than usual. It may be nil.
+	Overdue *Overdue
 }
 
 // RouteCriticality returns the criticality of the route of a call whose organisation has a rank.
--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -36,6 +36,8 @@
 	// ctx is the context of the call. cancelFirst cancels the first attempt.
 	ctx         context.Context
 	cancelFirst context.CancelCauseFunc
+	// notice tells the transport when the first attempt is overdue.
+	notice caller.Overdue
 
 	// mu guards the fields below. No other lock is taken while it is held.
 	mu    sync.Mutex
@@ -89,6 +91,7 @@
 		ctx:         ctx,
 		cancelFirst: cancelFirst,
 	}
+	call.Overdue = &h.notice
 	h.start()
 	started := time.Now()
 	answer, err := o.d.send(firstCtx, target, o.member, call, h)
@@ -168,6 +171,7 @@
 	}
 	d := second.d
 	if newlyOverdue {
+		h.notice.Notify()
 		d.mu.Lock()
 		d.router.RecordOverdue(time.Now(), h.target)
 		d.mu.Unlock()
