Do not replace a late answer of a backend server

A backend server's failure in the last moment before the deadline was followed by another attempt, which could only end at the deadline, so the caller got a 504 of the node's own instead of the server's answer, and a repeat was spent. No attempt follows, or is made beside another, with less than half of the typical latency of the route left.

--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -214,6 +214,10 @@
 // permitHedge reports whether another attempt may be made while one is open, and spends what it
 // costs.
 func (o *outboundCall) permitHedge() bool {
+	if o.lacksTime() {
+		o.noAttempt(recorder.NoTimeLeft)
+		return false
+	}
 	if !o.spendRepeat(caller.NewFailure(caller.Unknown, caller.ReasonOverdue)) {
 		return false
 	}
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -186,3 +186,24 @@
 		}
 	})
 }
+
+// TestLateAnswerIsReplacedByTheNodes guards against an answer of a backend server, just before the
+// deadline, that another attempt replaces by an answer of the node's own.
+func TestLateAnswerIsReplacedByTheNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &plannedTargets{}
+		d := startPlan(t, p, attemptPlan{
+			after:  100 * time.Millisecond,
+			status: 504,
+		}, attemptPlan{
+			after: time.Hour,
+		})
+		call := request("r-1")
+		call.Deadline = time.Now().Add(101 * time.Millisecond)
+		answer := d.Dispatch(context.Background(), call)
+		defer answer.Close()
+		if answer.Outcome != caller.Answered || answer.Status != 504 || p.attempts != 1 {
+			t.Errorf("got %s with status %d after %d attempts, want the backend server's 504 after 1", answer.Outcome, answer.Status, p.attempts)
+		}
+	})
+}
--- a/internal/request/dispatcher/retry.go
+++ b/internal/request/dispatcher/retry.go
@@ -34,12 +34,28 @@
 	if answer.Outcome != caller.NotRun {
 		o.mayHaveRun = true
 	}
+	if o.lacksTime() {
+		o.noAttempt(recorder.NoTimeLeft)
+		return false, 0
+	}
 	if !o.allowRetry(answer) {
 		return false, 0
 	}
 	return o.spendRetry(answer.Reason)
 }
 
+// minTimeRatio is the least time left for another attempt, as a fraction of the typical latency of
+// the route. With less, the attempt would only replace the last answer by the end of the time.
+const minTimeRatio = 0.5
+
+// lacksTime reports whether too little time is left for another attempt.
+func (o *outboundCall) lacksTime() bool {
+	o.d.mu.Lock()
+	typicalLatency := o.d.router.TypicalLatency(o.call.Service, o.call.Route)
+	o.d.mu.Unlock()
+	return time.Until(o.call.Deadline) < time.Duration(minTimeRatio*float64(typicalLatency))
+}
+
 // allowRetry reports whether the call may be attempted again, given the last answer. If
 // the new attempt would be a repeat, it also takes one repeat from the repeat budget.
 func (o *outboundCall) allowRetry(answer *caller.Answer) bool {
