Tell a backend server the time that is left when its request is sent

The deadline header was set before the wait for a connection, or the time to open one. It is now set after that.

--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -96,6 +96,7 @@
 	if err != nil {
 		return nil, caller.MarkNotSent(errors.Wrap(err, "get a connection to the backend server"))
 	}
+	f.config.Dialect.SetTimeout(req.Header, call.Deadline)
 	resp, err := c.exchange(ctx, req, func(resp *http.Response) error {
 		err := f.checkAnswer(resp, call)
 		if err == nil && f.isRefusal(resp) {
@@ -109,8 +110,8 @@
 	return f.newAnswer(resp)
 }
 
-// newRequest returns the HTTP request for a call. The path is sent as it was received,
-// without decoding and encoding it again.
+// newRequest returns the HTTP request for a call, without the header that SetTimeout sets. The
+// path is sent as it was received, without decoding and encoding it again.
 func (f *Forwarder) newRequest(call *caller.Call) (*http.Request, error) {
 	target := &url.URL{
 		Scheme: "http",
--- a/internal/connection/labeler/labeler.go
+++ b/internal/connection/labeler/labeler.go
@@ -6,6 +6,7 @@
 //	id := req.Header.Get(labeler.RequestID)
 //	dialect := labeler.NativeDialect()
 //	dialect.SetCallHeaders(req.Header, call)
+//	dialect.SetTimeout(req.Header, call.Deadline)
 package labeler
 
 import (
@@ -79,14 +80,13 @@
 	}
 }
 
-// SetCallHeaders sets the headers that describe call to the backend server. It first
-// removes the reserved headers.
+// SetCallHeaders sets the headers that describe call to the backend server, except the one that
+// SetTimeout sets. It first removes the reserved headers.
 func (d Dialect) SetCallHeaders(h http.Header, call *caller.Call) {
 	d.RemoveReserved(h)
 	for name, value := range map[string]string{
 		d.RequestID:     call.RequestID,
 		d.Parent:        call.CallID,
-		d.Timeout:       d.FormatTimeout(time.Until(call.Deadline)),
 		d.Criticality:   call.Priority.Criticality().String(),
 		d.Instance:      call.Instance,
 		d.CallerService: call.CallerService,
@@ -100,6 +100,14 @@
 	}
 }
 
+// SetTimeout tells the backend server the time that is left until deadline. It is set last,
+// because the backend server counts from the arrival of the request.
+func (d Dialect) SetTimeout(h http.Header, deadline time.Time) {
+	if d.Timeout != "" {
+		h.Set(d.Timeout, d.FormatTimeout(time.Until(deadline)))
+	}
+}
+
 // RemoveOrganisation removes what callers send of an organisation: its key, and its name, which
 // only nodes may set.
 func (d Dialect) RemoveOrganisation(h http.Header) {
--- a/internal/connection/labeler/labeler_test.go
+++ b/internal/connection/labeler/labeler_test.go
@@ -34,5 +34,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		dialect.SetCallHeaders(h, call)
+		dialect.SetTimeout(h, call.Deadline)
 	}
 }
