Deliver an answer that arrived before the end of its call's time

The dialer looked at the context after the answer and returned its error if the time had ended meanwhile. It now reads what has arrived, and returns the answer if that is whole.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -193,9 +193,8 @@
 		stream.SetDeadline(time.Unix(1, 0))
 	})
 	answer, err := roundTrip(stream, call)
-	if ctx.Err() != nil {
-		// A canceled call returns the error of ctx even if an answer has arrived, which
-		// may itself only report the cancellation.
+	if ctx.Err() != nil && !readArrived(stream, answer, err) {
+		// The answer that has arrived, if any, may itself only report the cancellation.
 		err = errors.CombineErrors(ctx.Err(), err)
 	}
 	if err != nil {
@@ -218,6 +217,18 @@
 	return answer, nil
 }
 
+// readArrived reads the body of a backend server's answer as far as it has arrived, and reports
+// whether it is whole. err is the error of the round trip.
+func readArrived(stream *yamux.Stream, answer *caller.Answer, err error) bool {
+	if err != nil || answer.Body == nil {
+		return false
+	}
+	stream.SetReadDeadline(time.Unix(1, 0))
+	content, err := io.ReadAll(answer.Body)
+	answer.Body = io.NopCloser(bytes.NewReader(content))
+	return err == nil
+}
+
 // roundTrip sends the call and reads the answer up to its body.
 func roundTrip(stream *yamux.Stream, call *caller.Call) (*caller.Answer, error) {
 	head := &encoder.StreamHead{
