Count the silence of a peer only while the own process runs

The probe of a session waits in seven steps. A step that took twice its time does not count, since the answer may be there and not read yet; at most seven steps are left out. A silent connection is closed after the same time as before.

--- a/internal/connection/dialer/maintenance.go
+++ b/internal/connection/dialer/maintenance.go
@@ -83,7 +83,12 @@
 	}
 }
 
-// answersPing sends a ping and reports whether any data arrives within timeout.
+// probeSteps is the number of parts in which the wait for the answer to a ping is measured.
+const probeSteps = 7
+
+// answersPing sends a ping and reports whether any data arrives within timeout. The time counts
+// only while the own process runs: after a stand still, the answer of the peer may be there but
+// not read yet.
 func answersPing(s *session, timeout time.Duration) bool {
 	started := time.Now()
 	answered := make(chan error, 1)
@@ -91,12 +96,29 @@
 		_, err := s.Ping()
 		answered <- err
 	}()
-	timer := time.NewTimer(timeout)
+	step := timeout / probeSteps
+	timer := time.NewTimer(step)
 	defer timer.Stop()
-	select {
-	case err := <-answered:
-		return err == nil
-	case <-timer.C:
-		return s.conn.lastRead.Load() > started.UnixNano()
+	// Half of the steps may be late, so that a connection without data is closed also if the
+	// processor is always busy.
+	silent := 0
+	for range 2 * probeSteps {
+		stepStarted := time.Now()
+		select {
+		case err := <-answered:
+			return err == nil
+		case <-timer.C:
+		}
+		if s.conn.lastRead.Load() > started.UnixNano() {
+			return true
+		}
+		if time.Since(stepStarted) < 2*step {
+			silent++
+		}
+		if silent == probeSteps {
+			return false
+		}
+		timer.Reset(step)
 	}
+	return false
 }
