Share one connection attempt among the calls that wait for a session

Calls took a lock in turn, and each made its own attempt. Now the calls that need a session wait for the same attempt, each until its own time ends. The attempt goes on if the first of them ends.

--- a/internal/connection/dialer/peer.go
+++ b/internal/connection/dialer/peer.go
@@ -19,11 +19,19 @@
 	address netip.AddrPort
 	dialer  *Dialer
 
-	// dialMu is held while a session is opened, so that only one is opened at a time.
-	dialMu sync.Mutex
-
+	// mu guards the fields below and is never held during I/O.
 	mu      sync.Mutex
 	session *session
+	// attempt is the attempt to open a session that is in progress, or nil.
+	attempt *connectAttempt
+}
+
+// connectAttempt is an attempt to open a session. All calls that need one wait for the same attempt.
+type connectAttempt struct {
+	// done is closed at the end of the attempt. Then session or err is set.
+	done    chan struct{}
+	session *session
+	err     error
 }
 
 // session is a multiplexed session on a connection to a peer.
@@ -104,14 +112,53 @@
 	return s.OpenStream()
 }
 
-// connect opens a session to replace stale, which may be nil. If another caller has
-// replaced stale meanwhile, connect returns that session.
+// connect returns a session other than stale, which may be nil. If there is none, it waits for a
+// new one until ctx ends.
 func (p *peer) connect(ctx context.Context, stale *session) (*session, error) {
-	p.dialMu.Lock()
-	defer p.dialMu.Unlock()
-	if s := p.usableSession(); s != nil && s != stale {
+	s, attempt := p.joinAttempt(ctx, stale)
+	if s != nil {
+		return s, nil
+	}
+	select {
+	case <-attempt.done:
+		return attempt.session, attempt.err
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "connect to %s", p.address)
+	}
+}
+
+// joinAttempt returns the current session if it is usable and not stale. Otherwise it returns the
+// attempt in progress, or starts one.
+func (p *peer) joinAttempt(ctx context.Context, stale *session) (*session, *connectAttempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.session; s != nil && s != stale && !s.IsClosed() {
 		return s, nil
 	}
+	if p.attempt == nil {
+		p.attempt = &connectAttempt{
+			done: make(chan struct{}),
+		}
+		// Other calls wait for the attempt too, so the end of this one must not cancel it.
+		go p.runAttempt(context.WithoutCancel(ctx), p.attempt)
+	}
+	return nil, p.attempt
+}
+
+// runAttempt opens a session and makes it the current one.
+func (p *peer) runAttempt(ctx context.Context, attempt *connectAttempt) {
+	defer close(attempt.done)
+	attempt.session, attempt.err = p.openSession(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.attempt = nil
+	if attempt.err == nil {
+		p.session = attempt.session
+	}
+}
+
+// openSession opens a connection and a session on it.
+func (p *peer) openSession(ctx context.Context) (*session, error) {
 	conn, err := p.dialer.config.Dial(ctx, p.address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", p.address)
@@ -136,8 +183,5 @@
 		s.Close()
 		return nil, errors.New("node is stopping")
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.session = s
 	return s, nil
 }
