State the length of refusals and other answers of the node's own

A refusal of an upload of which over 1 MiB is left was cut before its end, since it had no length. It now has one and is complete before the rest of the upload is discarded, at both interfaces.

--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -101,7 +101,10 @@
 	if answer.Detail != "" {
 		text += ": " + answer.Detail
 	}
-	return c.String(failureStatus(answer), text+"\n")
+	text += "\n"
+	// Without a length, the answer is complete only after the request body was discarded.
+	c.Response().Header().Set("Content-Length", strconv.Itoa(len(text)))
+	return c.String(failureStatus(answer), text)
 }
 
 // failureStatus returns the HTTP status for a call that was refused or failed.
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -235,7 +235,10 @@
 	if (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && answer.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	return c.String(status, answer.Outcome.String()+": "+answer.Reason.String()+"\n")
+	text := answer.Outcome.String() + ": " + answer.Reason.String() + "\n"
+	// Without a length, the answer is complete only after the request body was discarded.
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	return c.String(status, text)
 }
 
 // failureStatus returns the HTTP status for a call that was refused or failed. 401, 429 and
