Complete early answers without a length

The end of such an answer is sent after the rest of the request body was discarded, which ended after 1 MiB or 5 s with an aborted connection. Now that may take until the deadline of the call, of any length. Answers with a length are complete before and keep the limits.

--- a/internal/connection/gateway/body.go
+++ b/internal/connection/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -53,17 +54,27 @@
 // what the caller still sends, because the HTTP server must not find the end of the body
 // itself in full duplex mode. If the rest is too long or too late, FinishBody aborts the
 // connection.
-func FinishBody(c echo.Context, body *caller.Body) {
+//
+// The end of an answer without a length is sent after that. The rest of the body may then be of any
+// length and take until the deadline of the call.
+func FinishBody(c echo.Context, body *caller.Body, deadline time.Time) {
 	if body.Complete() {
 		return
 	}
+	limit, end := int64(maxDiscardedBytes), time.Now().Add(discardTimeout)
+	if c.Response().Header().Get("Content-Length") == "" {
+		limit = math.MaxInt64
+		if deadline.After(end) {
+			end = deadline
+		}
+	}
 	// The caller may wait for the answer before it sends the rest.
 	c.Response().Flush()
 	controller := http.NewResponseController(c.Response())
-	if err := controller.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := controller.SetReadDeadline(end); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		panic(http.ErrAbortHandler)
 	}
-	if err := body.Discard(maxDiscardedBytes); err != nil {
+	if err := body.Discard(limit); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -72,7 +72,7 @@
 	answer := g.config.Dispatcher.Dispatch(c.Request().Context(), call)
 	defer answer.Close()
 	err = g.writeAnswer(c, call, answer)
-	FinishBody(c, call.Body)
+	FinishBody(c, call.Body, call.Deadline)
 	return err
 }
 
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -84,7 +84,7 @@
 		r.config.Tally.RecordAnswer(tallyKey(call), answer)
 	}
 	err = r.writeAnswer(c, call, answer)
-	gateway.FinishBody(c, call.Body)
+	gateway.FinishBody(c, call.Body, call.Deadline)
 	return err
 }
 
