--- a/internal/connection/gateway/gateway.go
+++ b/internal/connection/gateway/gateway.go
@@ -72,7 +72,7 @@
 	answer := g.config.Dispatcher.Dispatch(c.Request().Context(), call)
 	defer answer.Close()
 	err = g.writeAnswer(c, call, answer)
-	FinishBody(c, call.Body)
+	FinishBody(c, call.Body, call.Deadline)
 	return err
 }
 
@@ -101,7 +101,10 @@
 	if answer.Detail != "" {
 		text += ": " + answer.Detail
 	}
-	return c.String(failureStatus(answer), text+"\n")
+	text += "\n"
+	// Without a length, the answer is complete only after the request body was discarded.
+	c.Response().Header().Set("Content-Length", strconv.Itoa(len(text)))
+	return c.String(failureStatus(answer), text)
 }
 
 // failureStatus returns the HTTP status for a call that was refused or failed.
