Read what has arrived on a session after a write has failed

Callers got 502 for answers that had arrived whole. When another node closes its end of a session, this node's next writes fail. It then closed the connection although it had not read all that had arrived before: with a process that is late to read, the last answers of a stopped node were lost, however small.

A failed write now leaves the connection to its reader, which gets what has arrived and then the end. Close waits for that for 200 ms at most, as it does for bytes to send. A peer that is silent gives the reader no end, so a failed write also limits the time to read to 200 ms.

--- a/internal/connection/sessionizer/conn.go
+++ b/internal/connection/sessionizer/conn.go
@@ -10,9 +10,9 @@
 const (
 	// maxPendingBytes is how much a Conn buffers before Write waits for the peer.
 	maxPendingBytes = 64 << 10
-	// closeFlushTimeout limits how long Close waits for the peer to take the pending
-	// bytes.
-	closeFlushTimeout = 200 * time.Millisecond
+	// closeTimeout limits how long Close waits for the peer, and how long after a failed write
+	// the received bytes may be read.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Conn sends what is written in quick succession with one system call. A multiplexed
@@ -30,6 +30,8 @@
 	sending bool
 	closed  bool
 	err     error
+	// readEnded is set when a read has failed, or when Close no longer waits for one.
+	readEnded bool
 }
 
 // NewConn returns a Conn on conn. Close it to release its goroutine.
@@ -61,8 +63,24 @@
 	return len(p), nil
 }
 
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.endRead()
+	}
+	return n, err
+}
+
+func (c *Conn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readEnded = true
+	c.changed.Broadcast()
+}
+
 // Close implements net.Conn. It sends the pending bytes first, unless the peer does not
-// take them in time.
+// take them in time. If a write has failed, the reader first gets what has arrived.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	if c.closed {
@@ -70,11 +88,16 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	c.Conn.SetWriteDeadline(time.Now().Add(closeFlushTimeout))
+	c.Conn.SetWriteDeadline(time.Now().Add(closeTimeout))
+	timer := time.AfterFunc(closeTimeout, c.endRead)
+	defer timer.Stop()
 	c.changed.Broadcast()
 	for (c.sending || len(c.pending) > 0) && c.err == nil {
 		c.changed.Wait()
 	}
+	for c.err != nil && !c.readEnded {
+		c.changed.Wait()
+	}
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -100,8 +123,9 @@
 		c.spare = keepSmall(buffer)
 		if err != nil {
 			c.err = err
-			// The reader of the connection must learn of the failure too.
-			c.Conn.Close()
+			// The peer may have sent whole answers before it closed its end. The reader
+			// gets them, and must learn of the failure too.
+			c.Conn.SetReadDeadline(time.Now().Add(closeTimeout))
 		}
 		c.changed.Broadcast()
 		if err != nil {
--- a/internal/connection/sessionizer/conn_test.go
+++ b/internal/connection/sessionizer/conn_test.go
@@ -95,8 +95,8 @@
 		started := time.Now()
 		conn.Close()
 		<-failed
-		if got := time.Since(started); got > 2*closeFlushTimeout {
-			t.Errorf("Close took %v, want at most %v", got, closeFlushTimeout)
+		if got := time.Since(started); got > 2*closeTimeout {
+			t.Errorf("Close took %v, want at most %v", got, closeTimeout)
 		}
 	})
 }
