Close sessions one direction at a time

Callers got 502 although the backend server had answered and the node beside it had written the answer, as that node stopped. It closed its connections at once. A connection that is closed with unread bytes, or gets more of them (a call, a window update, the end of a stream), is reset, which destroys what the other node has not received yet.

A session now sends its end and reads on until the other node has closed its end too, which takes one round trip, or at most 2 s for one that does not respond. A node that stops waits until the time at which its servers must be closed, but 200 ms as before if that has passed, and it takes no new sessions meanwhile. A session that does not answer a probe, and those of a node's own calls at its end, close at once: no answer is awaited there.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -5,7 +5,7 @@
 //
 //	a := acceptor.New(acceptor.Config{Executor: executor, Settings: follower.State})
 //	err := a.Serve(listener)
-//	a.Close()
+//	a.Shutdown(ctx)
 package acceptor
 
 import (
@@ -16,7 +16,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -62,7 +61,7 @@
 	cancel context.CancelFunc
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]bool
+	sessions map[*yamux.Session]*sessionizer.Conn
 }
 
 // New returns an Acceptor.
@@ -72,7 +71,7 @@
 		config:   config,
 		ctx:      ctx,
 		cancel:   cancel,
-		sessions: make(map[*yamux.Session]bool),
+		sessions: make(map[*yamux.Session]*sessionizer.Conn),
 	}
 }
 
@@ -90,34 +89,48 @@
 	}
 }
 
-// Close closes all sessions and cancels their calls. It closes the sessions at the same
-// time because a peer that does not read delays the end of its session.
-func (a *Acceptor) Close() {
+// minCloseTime is how long a session may take to close when the context of Shutdown is done.
+const minCloseTime = 200 * time.Millisecond
+
+// Shutdown cancels the calls and closes all sessions. Answers that were written reach the peers,
+// unless ctx is done before. Sessions close at the same time because a peer that does not read
+// delays the end of its session.
+func (a *Acceptor) Shutdown(ctx context.Context) {
 	a.cancel()
 	var group sync.WaitGroup
-	for _, session := range a.openSessions() {
+	for session, conn := range a.openSessions() {
 		group.Go(func() {
-			session.Close()
+			closeSession(ctx, session, conn)
 		})
 	}
 	group.Wait()
 }
 
-func (a *Acceptor) openSessions() []*yamux.Session {
+// closeSession closes a session until ctx is done or, if that is later, for minCloseTime.
+func closeSession(ctx context.Context, session *yamux.Session, conn *sessionizer.Conn) {
+	earliest := time.Now().Add(minCloseTime)
+	stop := context.AfterFunc(ctx, func() {
+		time.AfterFunc(time.Until(earliest), conn.Abort)
+	})
+	defer stop()
+	session.Close()
+}
+
+func (a *Acceptor) openSessions() map[*yamux.Session]*sessionizer.Conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Collect(maps.Keys(a.sessions))
+	return maps.Clone(a.sessions)
 }
 
-func (a *Acceptor) serveConn(conn net.Conn) {
-	conn = sessionizer.NewConn(conn)
+func (a *Acceptor) serveConn(accepted net.Conn) {
+	conn := sessionizer.NewConn(accepted)
 	session, err := yamux.Server(conn, sessionizer.Config())
 	if err != nil {
 		conn.Close()
 		return
 	}
 	a.mu.Lock()
-	a.sessions[session] = true
+	a.sessions[session] = conn
 	a.mu.Unlock()
 	defer func() {
 		a.mu.Lock()
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -118,7 +118,7 @@
 	t.Cleanup(func() {
 		p.dialer.Close()
 		listener.Close()
-		a.Close()
+		a.Shutdown(t.Context())
 	})
 	return p
 }
--- a/internal/connection/acceptor/close_test.go
+++ b/internal/connection/acceptor/close_test.go
@@ -61,7 +61,7 @@
 	t.Cleanup(func() {
 		p.dialer.Close()
 		listener.Close()
-		a.Close()
+		a.Shutdown(t.Context())
 	})
 	return a, p
 }
@@ -115,7 +115,7 @@
 			hold(busy, func() {
 				close(release)
 				answered.Wait()
-				go a.Close()
+				go a.Shutdown(t.Context())
 				for range 3 {
 					time.Sleep(20 * time.Millisecond)
 					go p.call(t.Context(), "late", nil)
@@ -175,7 +175,7 @@
 	}, &sync.RWMutex{})
 	go func() {
 		<-writing
-		a.Close()
+		a.Shutdown(t.Context())
 	}()
 	answer, err := p.call(t.Context(), "a", nil)
 	if err != nil {
--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -91,16 +91,11 @@
 	}
 }
 
-// Close closes all sessions, at the same time because a peer that does not read delays the
-// end of its session.
+// Close closes all sessions. It waits for no answer.
 func (d *Dialer) Close() {
-	var group sync.WaitGroup
 	for _, s := range d.stop() {
-		group.Go(func() {
-			s.Close()
-		})
+		s.abort()
 	}
-	group.Wait()
 }
 
 // stop marks the dialer as closed and returns the open sessions.
--- a/internal/connection/dialer/maintenance.go
+++ b/internal/connection/dialer/maintenance.go
@@ -64,7 +64,8 @@
 	if s.NumStreams() == 0 {
 		switch {
 		case !s.peer.isCurrent(s):
-			s.Close()
+			// A silent peer must not delay the checks of the other sessions.
+			go s.Close()
 		case now.Sub(time.Unix(0, s.lastOpen.Load())) > sessionIdleTimeout:
 			s.peer.detach(s)
 		}
@@ -79,7 +80,7 @@
 func (d *Dialer) probe(s *session) {
 	defer s.probing.Store(false)
 	if !answersPing(s, d.config.ReadIdleTimeout) {
-		s.Close()
+		s.abort()
 	}
 }
 
--- a/internal/connection/dialer/peer.go
+++ b/internal/connection/dialer/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -39,7 +38,7 @@
 
 // trackedConn records when it last received data.
 type trackedConn struct {
-	net.Conn
+	*sessionizer.Conn
 	lastRead atomic.Int64 // Unix time in nanoseconds
 }
 
@@ -104,6 +103,12 @@
 	return s.OpenStream()
 }
 
+// abort closes the session without waiting for the peer.
+func (s *session) abort() {
+	s.conn.Abort()
+	s.Close()
+}
+
 // connect opens a session to replace stale, which may be nil. If another caller has
 // replaced stale meanwhile, connect returns that session.
 func (p *peer) connect(ctx context.Context, stale *session) (*session, error) {
--- a/internal/connection/screener/conn.go
+++ b/internal/connection/screener/conn.go
@@ -275,7 +275,12 @@
 
 // CloseWrite lets the HTTP server close one direction of the connection.
 func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	return closeWrite(c.Conn)
+}
+
+// closeWrite closes one direction of a connection that can be closed so.
+func closeWrite(conn net.Conn) error {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
--- a/internal/connection/screener/peer.go
+++ b/internal/connection/screener/peer.go
@@ -30,6 +30,11 @@
 	return n, err
 }
 
+// CloseWrite lets a session end its direction of the connection first.
+func (c *peerConn) CloseWrite() error {
+	return closeWrite(c.Conn)
+}
+
 // Close implements net.Conn.
 func (c *peerConn) Close() error {
 	c.closing.Do(func() {
--- a/internal/connection/sessionizer/close_test.go
+++ b/internal/connection/sessionizer/close_test.go
@@ -68,9 +68,9 @@
 		conn.Close()
 		close(closed)
 	}()
-	time.Sleep(closeTimeout / 4)
+	time.Sleep(50 * time.Millisecond)
 	far.Write([]byte("late"))
-	time.Sleep(closeTimeout / 4)
+	time.Sleep(50 * time.Millisecond)
 	if got, err := io.ReadAll(far); !bytes.Equal(got, want) {
 		t.Errorf("got %d bytes, error %v, want all %d", len(got), err, len(want))
 	}
--- a/internal/connection/sessionizer/conn.go
+++ b/internal/connection/sessionizer/conn.go
@@ -12,7 +12,7 @@
 	maxPendingBytes = 64 << 10
 	// closeTimeout limits how long Close waits for the peer, and how long after a failed write
 	// the received bytes may be read.
-	closeTimeout = 200 * time.Millisecond
+	closeTimeout = 2 * time.Second
 )
 
 // Conn sends what is written in quick succession with one system call. A multiplexed
@@ -79,8 +79,10 @@
 	c.changed.Broadcast()
 }
 
-// Close implements net.Conn. It sends the pending bytes first, unless the peer does not
-// take them in time. If a write has failed, the reader first gets what has arrived.
+// Close implements net.Conn. It sends the pending bytes and the end, and reads on until the peer
+// has closed its end too, unless that takes too long. A connection that is closed with unread
+// bytes, or gets more of them, is reset, which destroys what the peer has not received yet. If
+// a write has failed, the reader first gets what has arrived.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	if c.closed {
@@ -95,13 +97,27 @@
 	for (c.sending || len(c.pending) > 0) && c.err == nil {
 		c.changed.Wait()
 	}
-	for c.err != nil && !c.readEnded {
+	sentEnd := c.closeWrite()
+	for (sentEnd || c.err != nil) && !c.readEnded {
 		c.changed.Wait()
 	}
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// closeWrite sends the end of the bytes, and reports whether the connection has one of its own for
+// each direction.
+func (c *Conn) closeWrite() bool {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	return ok && half.CloseWrite() == nil
+}
+
+// Abort closes the connection without waiting for the peer. It also ends a Close that waits.
+func (c *Conn) Abort() {
+	c.endRead()
+	c.Conn.Close()
+}
+
 // flush sends pending bytes until the connection is closed or fails.
 func (c *Conn) flush() {
 	c.mu.Lock()
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -421,8 +421,10 @@
 	group.Add(func() error {
 		return n.acceptor.Serve(peers)
 	}, func(error) {
-		n.acceptor.Close()
 		peers.Close()
+		ctx, cancel := context.WithDeadline(context.Background(), n.shutdownDeadline())
+		defer cancel()
+		n.acceptor.Shutdown(ctx)
 	})
 	group.Add(func() error {
 		return n.announcer.Run(ctx)
