Write the answers of all calls before sessions close

Callers got 502, or a query for the outcome that nobody answered, for calls that a stopping node had refused as not run. The executor counts a call without a body in its answer as ended before the acceptor has written the answer. The drain could end in between, and closed the session.

The acceptor now counts calls from their head to the last byte of their answer, and Shutdown waits for them until the time at which the node's servers must be closed. A second signal still stops the node at once.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -62,6 +62,10 @@
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]*sessionizer.Conn
+	// open is the number of calls whose answer is not yet written.
+	open int
+	// idle is closed once open is 0. It is nil before Shutdown.
+	idle chan struct{}
 }
 
 // New returns an Acceptor.
@@ -92,10 +96,14 @@
 // minCloseTime is how long a session may take to close when the context of Shutdown is done.
 const minCloseTime = 200 * time.Millisecond
 
-// Shutdown cancels the calls and closes all sessions. Answers that were written reach the peers,
-// unless ctx is done before. Sessions close at the same time because a peer that does not read
-// delays the end of its session.
+// Shutdown waits until the answers of all calls are written, and closes all sessions once the peers
+// have received them. When ctx is done, it cancels the calls and waits no longer. Sessions close at
+// the same time because a peer that does not read delays the end of its session.
 func (a *Acceptor) Shutdown(ctx context.Context) {
+	select {
+	case <-a.idleCalls():
+	case <-ctx.Done():
+	}
 	a.cancel()
 	var group sync.WaitGroup
 	for session, conn := range a.openSessions() {
@@ -106,6 +114,39 @@
 	group.Wait()
 }
 
+// idleCalls returns a channel that is closed once no call is open.
+func (a *Acceptor) idleCalls() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.idle == nil {
+		a.idle = make(chan struct{})
+		if a.open == 0 {
+			close(a.idle)
+		}
+	}
+	return a.idle
+}
+
+func (a *Acceptor) beginCall() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open++
+}
+
+func (a *Acceptor) endCall() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open--
+	if a.open > 0 || a.idle == nil {
+		return
+	}
+	select {
+	case <-a.idle:
+	default:
+		close(a.idle)
+	}
+}
+
 // closeSession closes a session until ctx is done or, if that is later, for minCloseTime.
 func closeSession(ctx context.Context, session *yamux.Session, conn *sessionizer.Conn) {
 	earliest := time.Now().Add(minCloseTime)
@@ -178,6 +219,8 @@
 }
 
 func (a *Acceptor) serveCall(stream *yamux.Stream, reader *bufio.Reader, head *encoder.CallHead) {
+	a.beginCall()
+	defer a.endCall()
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
 	weight := headWeight(head)
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -422,7 +422,7 @@
 		return n.acceptor.Serve(peers)
 	}, func(error) {
 		peers.Close()
-		ctx, cancel := context.WithDeadline(context.Background(), n.shutdownDeadline())
+		ctx, cancel := context.WithDeadline(ctx, n.shutdownDeadline())
 		defer cancel()
 		n.acceptor.Shutdown(ctx)
 	})
