--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -5,7 +5,7 @@
 //
 //	a := acceptor.New(acceptor.Config{Executor: executor, Settings: follower.State})
 //	err := a.Serve(listener)
-//	a.Close()
+//	a.Shutdown(ctx)
 package acceptor
 
 import (
@@ -16,7 +16,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -62,7 +61,11 @@
 	cancel context.CancelFunc
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]bool
+	sessions map[*yamux.Session]*sessionizer.Conn
+	// open is the number of calls whose answer is not yet written.
+	open int
+	// idle is closed once open is 0. It is nil before Shutdown.
+	idle chan struct{}
 }
 
 // New returns an Acceptor.
@@ -72,7 +75,7 @@
 		config:   config,
 		ctx:      ctx,
 		cancel:   cancel,
-		sessions: make(map[*yamux.Session]bool),
+		sessions: make(map[*yamux.Session]*sessionizer.Conn),
 	}
 }
 
@@ -90,34 +93,85 @@
 	}
 }
 
-// Close closes all sessions and cancels their calls. It closes the sessions at the same
-// time because a peer that does not read delays the end of its session.
-func (a *Acceptor) Close() {
+// minCloseTime is how long a session may take to close when the context of Shutdown is done.
+const minCloseTime = 200 * time.Millisecond
+
+// Shutdown waits until the answers of all calls are written, and closes all sessions once the peers
+// have received them. When ctx is done, it cancels the calls and waits no longer. Sessions close at
+// the same time because a peer that does not read delays the end of its session.
+func (a *Acceptor) Shutdown(ctx context.Context) {
+	select {
+	case <-a.idleCalls():
+	case <-ctx.Done():
+	}
 	a.cancel()
 	var group sync.WaitGroup
-	for _, session := range a.openSessions() {
+	for session, conn := range a.openSessions() {
 		group.Go(func() {
-			session.Close()
+			closeSession(ctx, session, conn)
 		})
 	}
 	group.Wait()
 }
 
-func (a *Acceptor) openSessions() []*yamux.Session {
+// idleCalls returns a channel that is closed once no call is open.
+func (a *Acceptor) idleCalls() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.idle == nil {
+		a.idle = make(chan struct{})
+		if a.open == 0 {
+			close(a.idle)
+		}
+	}
+	return a.idle
+}
+
+func (a *Acceptor) beginCall() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open++
+}
+
+func (a *Acceptor) endCall() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open--
+	if a.open > 0 || a.idle == nil {
+		return
+	}
+	select {
+	case <-a.idle:
+	default:
+		close(a.idle)
+	}
+}
+
+// closeSession closes a session until ctx is done or, if that is later, for minCloseTime.
+func closeSession(ctx context.Context, session *yamux.Session, conn *sessionizer.Conn) {
+	earliest := time.Now().Add(minCloseTime)
+	stop := context.AfterFunc(ctx, func() {
+		time.AfterFunc(time.Until(earliest), conn.Abort)
+	})
+	defer stop()
+	session.Close()
+}
+
+func (a *Acceptor) openSessions() map[*yamux.Session]*sessionizer.Conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Collect(maps.Keys(a.sessions))
+	return maps.Clone(a.sessions)
 }
 
-func (a *Acceptor) serveConn(conn net.Conn) {
-	conn = sessionizer.NewConn(conn)
+func (a *Acceptor) serveConn(accepted net.Conn) {
+	conn := sessionizer.NewConn(accepted)
 	session, err := yamux.Server(conn, sessionizer.Config())
 	if err != nil {
 		conn.Close()
 		return
 	}
 	a.mu.Lock()
-	a.sessions[session] = true
+	a.sessions[session] = conn
 	a.mu.Unlock()
 	defer func() {
 		a.mu.Lock()
@@ -165,6 +219,8 @@
 }
 
 func (a *Acceptor) serveCall(stream *yamux.Stream, reader *bufio.Reader, head *encoder.CallHead) {
+	a.beginCall()
+	defer a.endCall()
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
 	weight := headWeight(head)
--- a/internal/connection/acceptor/arrived_test.go
+++ b/internal/connection/acceptor/arrived_test.go
@@ -62,7 +62,7 @@
 			},
 		}),
 	}
-	defer a.Close()
+	defer a.Shutdown(t.Context())
 	defer listener.Close()
 	defer p.dialer.Close()
 	const calls = 300
--- a/internal/connection/dialer/frozen_test.go
+++ b/internal/connection/dialer/frozen_test.go
@@ -77,7 +77,7 @@
 		}),
 		Settings: follower.NewState,
 	})
-	defer a.Close()
+	defer a.Shutdown(t.Context())
 	go a.Serve(listener)
 	if got, want := runFrozenCaller(t, listener.Addr().String()), frozenCalls; strings.Count(got, "answered\n") != want {
 		t.Errorf("got:\n%swant %d calls answered", got, want)
--- a/internal/connection/dialer/peer.go
+++ b/internal/connection/dialer/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -54,7 +53,7 @@
 
 // trackedConn records when it last received data.
 type trackedConn struct {
-	net.Conn
+	*sessionizer.Conn
 	lastRead atomic.Int64 // Unix time in nanoseconds
 }
 
@@ -119,6 +118,12 @@
 	return s.OpenStream()
 }
 
+// abort closes the session without waiting for the peer.
+func (s *session) abort() {
+	s.conn.Abort()
+	s.Close()
+}
+
 // connect returns a session other than stale, which may be nil. If there is none, it waits for a
 // new one until ctx ends.
 func (p *peer) connect(ctx context.Context, stale *session) (*session, error) {
