Judge answers in place of a run that has just ended

A node that answers 504 itself while the processes are short of processor time may do so a moment before the backend server's answer: the run has ended by the time at which the client has read the answer, and the soak took that for no fault. With 120 to 200 ms of pauses of the process of the test, 6 calls of TestPlannedStopsLoseRequests got such a 504 after 204 to 207 ms of 1 s, and the finish lines say that the attempt timeout ended them; none was judged broken.

An answer of the node's own with time left is now a fault too if a run ended before it. What a stop may cut off stays excused: requests sent up to 3 s after the SIGTERM whose run lasted into the last sixth of the grace time.

--- a/cmd/laburnumshelf/soak_judge_test.go
+++ b/cmd/laburnumshelf/soak_judge_test.go
@@ -55,29 +55,6 @@
 	run.ended, run.canceled = time.Now(), canceled
 }
 
-// atWork reports whether a backend server worked on the request when its answer came. The caller
-// holds s.mu.
-func (s *soak) atWork(e soakExchange) bool {
-	for _, run := range s.runs[e.id] {
-		if run.ended.IsZero() || run.ended.After(e.ended) {
-			return true
-		}
-	}
-	return false
-}
-
-// lastCanceled returns when the last run of the request ended that the node canceled. The caller
-// holds s.mu.
-func (s *soak) lastCanceled(e soakExchange) (time.Time, bool) {
-	var last time.Time
-	for _, run := range s.runs[e.id] {
-		if run.canceled && run.ended.After(last) {
-			last = run.ended
-		}
-	}
-	return last, !last.IsZero()
-}
-
 // timeout returns the shortest time that the request has by its deadline, or by its route in a
 // configuration that may be in force before it ends. The caller holds s.mu.
 func (s *soak) timeout(e soakExchange) time.Duration {
@@ -102,13 +79,26 @@
 	}
 	mayBeCut := e.sent.Before(term.Add(soakLinger))
 	lastSixth := term.Add(soakGrace * 5 / 6)
-	ran := len(s.runs[e.id]) > 0
-	atWork := s.atWork(e)
-	excused := atWork && mayBeCut && e.ended.After(lastSixth)
-	canceledAt, canceled := s.lastCanceled(e)
-	brokenOff := atWork && !excused || canceled && !(mayBeCut && canceledAt.After(lastSixth))
+	ran, excused, brokenOff, replaced := false, false, false, false
+	for _, run := range s.runs[e.id] {
+		ran = true
+		atWork := run.ended.IsZero() || run.ended.After(e.ended)
+		workedUntil := run.ended
+		if atWork {
+			workedUntil = e.ended
+		}
+		switch {
+		case mayBeCut && workedUntil.After(lastSixth):
+			excused = excused || atWork
+		case atWork || run.canceled:
+			brokenOff = true
+		default:
+			replaced = true
+		}
+	}
 	lasted := e.ended.Sub(e.sent)
 	timedOut := e.status == http.StatusGatewayTimeout && lasted > max(s.timeout(e)-soakTimeoutSlack, s.shape.minTimeout)
+	refused := e.status == http.StatusServiceUnavailable || e.status == http.StatusTooManyRequests
 	switch {
 	case e.status == 0 && ran && !excused:
 		return "ran and got no whole answer"
@@ -116,8 +106,10 @@
 		return "got no answer long after it was sent"
 	case e.own && brokenOff && !timedOut && e.status != 0:
 		return "got an answer of the node's own while the backend server was at work"
-	case e.own && ran && (e.status == http.StatusServiceUnavailable || e.status == http.StatusTooManyRequests):
+	case e.own && ran && refused:
 		return "was refused as not run and ran"
+	case e.own && replaced && !timedOut && e.status != 0:
+		return "got an answer of the node's own in place of the backend server's"
 	}
 	return ""
 }
