Join the other nodes as soon as the first contacts are known

A restarted node refused the calls of its backend server for up to a second, though it already got calls for that server: their runs ended with 500, and requests of clients with 503. The first tick came before the store had told the contacts, joined nobody, and put the next try off by a whole period. The period now begins with the first contacts. The number of join packets stays the same.

--- a/internal/process/gossiper/tick.go
+++ b/internal/process/gossiper/tick.go
@@ -28,7 +28,8 @@
 			out = append(out, t.digestPacket(e.address, false))
 		}
 	}
-	if !now.Before(t.nextJoin) {
+	// A node learns its first contacts from the store, after its first ticks.
+	if len(t.contacts) > 0 && !now.Before(t.nextJoin) {
 		t.nextJoin = now.Add(joinPeriod)
 		out = append(out, t.joinContact()...)
 	}
@@ -58,9 +59,6 @@
 // member, because groups of nodes that started at the same time may have found
 // only each other.
 func (t *Table) joinContact() []Outgoing {
-	if len(t.contacts) == 0 {
-		return nil
-	}
 	alone := len(t.pickRandom(1, notDead)) == 0
 	known := t.liveAddresses()
 	var candidates []*contact
