Let one of two attempts that end together win

When both attempts of a hedged call returned a served answer before the other one was canceled, each canceled the other: the second was dropped, and the context of the first, on which its body still arrived, ended. The caller's connection was then cut in the body. Which attempt was served first is now decided under the lock of the hedge, and only the other one is canceled. A dropped answer is no longer closed with the lock held.

--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -46,13 +46,16 @@
 	overdue bool
 	// denied says why there is no second attempt yet.
 	denied recorder.NoAttempt
-	// firstEnded and firstServed tell how the first attempt ended.
+	// firstEnded reports whether the first attempt has ended, and firstServed whether it was served
+	// before second. At most one of firstServed and secondServed is set.
 	firstEnded  bool
 	firstServed bool
-	// second makes the attempts beside the first one, or is nil. answer receives its answer.
+	// second makes the attempts beside the first one, or is nil. answer receives its answer, unless
+	// the first attempt was served. secondServed reports whether second was served before that.
 	second       *outboundCall
 	cancelSecond context.CancelCauseFunc
 	answer       chan *caller.Answer
+	secondServed bool
 }
 
 // hedgeDelay returns the time after which another attempt is made beside one at target, or 0 for
@@ -95,14 +98,14 @@
 	h.start()
 	started := time.Now()
 	answer, err := o.d.send(firstCtx, target, o.member, call, h)
-	second := h.endFirst(err == nil && isServed(answer))
+	second, served := h.endFirst(err == nil && isServed(answer))
 	first := o.finishAttempt(firstCtx, call, started, answer, err)
 	if second == nil {
 		return first
 	}
 	// The permit for a repeat is spent.
 	o.repeated = true
-	if isServed(first) {
+	if served {
 		return first
 	}
 	secondAnswer := <-h.answer
@@ -148,19 +151,38 @@
 	return h.overdue
 }
 
-// endFirst records the end of the first attempt. It returns the second call if there is one. If the
-// first attempt was served, it cancels the second call, whose answer is then dropped.
-func (h *hedge) endFirst(served bool) *outboundCall {
+// endFirst records the end of the first attempt, and whether a backend server served it. It returns
+// the second call if there is one, and whether the first attempt was served before that. If so, it
+// cancels the second call, whose answer is then dropped.
+func (h *hedge) endFirst(served bool) (*outboundCall, bool) {
 	h.mu.Lock()
 	h.timer.Stop()
-	h.firstEnded, h.firstServed = true, served
-	second, cancelSecond := h.second, h.cancelSecond
+	h.firstEnded, h.firstServed = true, served && !h.secondServed
 	h.first.end.NoHedge = h.denied
+	second, cancelSecond, servedFirst := h.second, h.cancelSecond, h.firstServed
 	h.mu.Unlock()
-	if second != nil && served {
+	if second != nil && servedFirst {
 		cancelSecond(errSuperseded)
 	}
-	return second
+	return second, servedFirst
+}
+
+// endSecond hands over the answer of the second call, or drops it if the first attempt was served
+// before. If second was served, it cancels the first attempt.
+func (h *hedge) endSecond(answer *caller.Answer) {
+	h.mu.Lock()
+	dropped := h.firstServed
+	served := !dropped && isServed(answer)
+	h.secondServed = served
+	h.mu.Unlock()
+	if dropped {
+		answer.Close()
+		return
+	}
+	if served {
+		h.cancelFirst(errSuperseded)
+	}
+	h.answer <- answer
 }
 
 // onDelay makes the second attempt, or tries again after the delay if it is not permitted now.
@@ -187,11 +209,7 @@
 		return
 	}
 	d.record(second.call, recorder.Retry, caller.ReasonOverdue, caller.Answered, "", 0)
-	answer := second.repeatUntilDone(ctx)
-	if isServed(answer) {
-		h.cancelFirst(errSuperseded)
-	}
-	h.deliver(answer)
+	h.endSecond(second.repeatUntilDone(ctx))
 }
 
 // copyFirst returns the call for the attempts beside the first one, or nil if that has ended. It
@@ -243,14 +261,3 @@
 	h.answer = make(chan *caller.Answer, 1)
 	return true
 }
-
-// deliver hands over the answer of the second call, or drops it if the first attempt was served.
-func (h *hedge) deliver(answer *caller.Answer) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.firstServed {
-		answer.Close()
-		return
-	}
-	h.answer <- answer
-}
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -186,3 +186,59 @@
 		}
 	})
 }
+
+// boundBody is an answer body that breaks when the context of its attempt ends, as one does that
+// arrives over a connection.
+type boundBody struct {
+	io.Reader
+	ctx context.Context
+}
+
+// Read implements io.Reader.
+func (b *boundBody) Read(p []byte) (int, error) {
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return b.Reader.Read(p)
+}
+
+// Close implements io.Closer.
+func (b *boundBody) Close() error {
+	return nil
+}
+
+// TestAttemptsThatEndTogetherCancelEachOther guards against an answer whose body breaks because the
+// other attempt was served at the same moment.
+func TestAttemptsThatEndTogetherCancelEachOther(t *testing.T) {
+	const calls = 100
+	broken := 0
+	for range calls {
+		synctest.Test(t, func(t *testing.T) {
+			p := &plannedTargets{}
+			second := false
+			d := newTestDispatcher(t, func(ctx context.Context, target string, call *caller.Call) (*caller.Answer, error) {
+				answer, err := p.Call(ctx, target, call)
+				if second && err == nil {
+					answer.Body = &boundBody{
+						Reader: answer.Body,
+						ctx:    ctx,
+					}
+				}
+				return answer, err
+			})
+			for range 20 {
+				d.Dispatch(context.Background(), request("r-1")).Close()
+			}
+			p.plan, p.attempts, second = []attemptPlan{{250 * time.Millisecond, 200, 0}, {100 * time.Millisecond, 200, 0}}, 0, true
+			answer := d.Dispatch(context.Background(), request("r-1"))
+			defer answer.Close()
+			synctest.Wait()
+			if _, err := io.ReadAll(answer.Body); err != nil {
+				broken++
+			}
+		})
+	}
+	if broken > 0 {
+		t.Errorf("got %d broken answers of %d calls, want 0", broken, calls)
+	}
+}
