Say that a call may have run if its second attempt may have

If the first of two attempts was refused without a run, and the second one ended at the deadline without an answer, the call was answered with the refusal, whose 429 or 503 promises that it did not run. The second call notes that it may have run only when it asks for another attempt, which it does not do at the deadline. The outcome of its last attempt now counts too.

TestRefusedFirstAttemptHidesTheSecond: outcome notRun before, unknown now (-race, 20 runs).

--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -109,7 +109,7 @@
 		return first
 	}
 	secondAnswer := <-h.answer
-	o.adopt(second)
+	o.adopt(second, secondAnswer.Outcome)
 	if isServed(secondAnswer) || first.Outcome != caller.Answered && secondAnswer.Outcome == caller.Answered {
 		first.Close()
 		o.member, o.end.Cause, o.end.Detail = second.member, second.end.Cause, second.end.Detail
@@ -124,11 +124,11 @@
 	return answer.Outcome == caller.Answered && answer.Status < 500
 }
 
-// adopt takes over what the attempts of second showed.
-func (o *outboundCall) adopt(second *outboundCall) {
+// adopt takes over what the attempts of second showed. outcome is that of its last one.
+func (o *outboundCall) adopt(second *outboundCall, outcome caller.Outcome) {
 	o.tried = second.tried
 	o.attemptCount = max(o.attemptCount, second.attemptCount)
-	o.mayHaveRun = o.mayHaveRun || second.mayHaveRun
+	o.mayHaveRun = o.mayHaveRun || second.mayHaveRun || outcome != caller.NotRun
 	o.reachedBackend = o.reachedBackend || second.reachedBackend
 	o.pathThreshold = max(o.pathThreshold, second.pathThreshold)
 	o.end.Unanswered += second.end.Unanswered
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -242,3 +242,22 @@
 		t.Errorf("got %d broken answers of %d calls, want 0", broken, calls)
 	}
 }
+
+// TestRefusedFirstAttemptHidesTheSecond guards against a call that is said not to have run although
+// its second attempt may have.
+func TestRefusedFirstAttemptHidesTheSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &plannedTargets{}
+		d := startPlan(t, p, attemptPlan{
+			after:   900 * time.Millisecond,
+			refusal: caller.ReasonQueueTimeout,
+		}, attemptPlan{
+			after: time.Hour,
+		})
+		answer := d.Dispatch(context.Background(), request("r-1"))
+		defer answer.Close()
+		if p.attempts != 2 || answer.Outcome != caller.Unknown {
+			t.Errorf("got the outcome %s after %d attempts, want unknown after 2", answer.Outcome, p.attempts)
+		}
+	})
+}
