Take no repeat for a hedge that has no allowance

A hedge took a repeat from the budget of its route before it asked for the allowance of the call. A call without allowance did so again after each delay, so one open call could use up the repeats of all others. The allowance, which can be returned, is now taken first.

--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -230,13 +230,16 @@
 }
 
 // permitHedge reports whether another attempt may be made while one is open, and spends what it
-// costs.
+// costs. The repeat comes last, because the budget takes none back.
 func (o *outboundCall) permitHedge() bool {
-	if !o.spendRepeat(caller.NewFailure(caller.Unknown, caller.ReasonOverdue)) {
+	if permitted, _ := o.spendRetry(caller.ReasonOverdue); !permitted {
 		return false
 	}
-	permitted, _ := o.spendRetry(caller.ReasonOverdue)
-	return permitted
+	if o.spendRepeat(caller.NewFailure(caller.Unknown, caller.ReasonOverdue)) {
+		return true
+	}
+	o.pool.Return(1)
+	return false
 }
 
 // deny notes why there is no second attempt, and starts the delay again.
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -261,3 +261,34 @@
 		}
 	})
 }
+
+// TestDeniedHedgesUseUpTheBudget guards against a call without an allowance that takes a repeat from
+// the budget after each delay and makes no attempt with it.
+func TestDeniedHedgesUseUpTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &plannedTargets{}
+		refused := attemptPlan{
+			refusal: caller.ReasonLeaving,
+		}
+		// The refusal takes the allowance of the call along.
+		d := startPlan(t, p, refused, attemptPlan{
+			after:  900 * time.Millisecond,
+			status: 200,
+		})
+		budget := d.repeatBudget(request("r-1"))
+		for budget.Withdraw(time.Now()) {
+		}
+		for range 100 {
+			budget.RecordAttempt(time.Now())
+		}
+		d.Dispatch(context.Background(), request("r-1")).Close()
+		left := 0
+		for budget.Withdraw(time.Now()) {
+			left++
+		}
+		// At a half-life of 2 s, 10 of the 14 repeats are left after 0.9 s.
+		if want := 10; p.attempts != 2 || left < want {
+			t.Errorf("got %d repeats left after %d attempts, want at least %d after 2", left, p.attempts, want)
+		}
+	})
+}
