Hedge calls to a silent target after its load report expired

A hedge that got no repeat from the budget at first asked again after the delay, and then found in the last load report of the target whether its backend server makes calls. That report expires after a second, and a silent target sends no other, so the call counted as one that must not be repeated and waited for its deadline. The answer to that question is that of the start of the attempt now.

TestSilentTargetIsNoLeaf: timeout after 1 attempt before, 200 after 2 now (-race, 20 runs).

--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -230,12 +230,13 @@
 }
 
 // permitHedge reports whether another attempt may be made while one is open, and spends what it
-// costs. The repeat comes last, because the budget takes none back.
+// costs. The repeat comes last, because the budget takes none back. That the target's backend server
+// makes no calls was known when the attempt started; a silent target's load report expires.
 func (o *outboundCall) permitHedge() bool {
 	if permitted, _ := o.spendRetry(caller.ReasonOverdue); !permitted {
 		return false
 	}
-	if o.spendRepeat(caller.NewFailure(caller.Unknown, caller.ReasonOverdue)) {
+	if o.withdrawRepeat() {
 		return true
 	}
 	o.pool.Return(1)
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -292,3 +292,32 @@
 		}
 	})
 }
+
+// TestSilentTargetIsNoLeaf guards against a lost attempt that nobody repeats because the last load
+// report of its silent target has expired.
+func TestSilentTargetIsNoLeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &plannedTargets{}
+		d := startPlan(t, p, attemptPlan{
+			after: time.Hour,
+		}, attemptPlan{
+			after:  30 * time.Millisecond,
+			status: 200,
+		})
+		budget := d.repeatBudget(request("r-1"))
+		for budget.Withdraw(time.Now()) {
+		}
+		time.AfterFunc(1200*time.Millisecond, func() {
+			for range 20 {
+				budget.RecordAttempt(time.Now())
+			}
+		})
+		call := request("r-1")
+		call.Deadline = time.Now().Add(3 * time.Second)
+		answer := d.Dispatch(context.Background(), call)
+		defer answer.Close()
+		if answer.Status != 200 || p.attempts != 2 {
+			t.Errorf("got status %d (%s) after %d attempts, want 200 after 2", answer.Status, answer.Reason, p.attempts)
+		}
+	})
+}
--- a/internal/request/dispatcher/repeat.go
+++ b/internal/request/dispatcher/repeat.go
@@ -95,11 +95,16 @@
 		o.noAttempt(recorder.NoRepeatOfRuns)
 		return false
 	}
+	return o.withdrawRepeat()
+}
+
+// withdrawRepeat takes one repeat from the budget, unless the service as a whole is overloaded.
+func (o *outboundCall) withdrawRepeat() bool {
 	if o.d.overloaded(o.call.Service) {
 		o.noAttempt(recorder.NoRoomAtService)
 		return false
 	}
-	o.repeated = o.d.repeatBudget(o.call).Withdraw(now)
+	o.repeated = o.d.repeatBudget(o.call).Withdraw(time.Now())
 	if !o.repeated {
 		o.noAttempt(recorder.NoRepeatInBudget)
 	}
