End no overdue call whose connection delivers again

A session that was found severed once stayed so. A call on it that became overdue later was ended without a check, although the connection had delivered data in between. Data that arrives now takes the result back.

TestRecoveredConnectionEndsOverdueCall: the later call was ended before, and goes on now (-race, 20 runs).

--- a/internal/connection/dialer/severed.go
+++ b/internal/connection/dialer/severed.go
@@ -26,11 +26,15 @@
 }
 
 // isSevered reports whether the connection of s delivers nothing although the peer answers over
-// another one. Calls that are overdue at the same time share one check.
+// another one. Calls that are overdue at the same time share one check, and later ones its result
+// until the connection delivers something again.
 func (s *session) isSevered() bool {
 	asked := time.Now()
 	s.checking.Lock()
 	defer s.checking.Unlock()
+	if s.severed && s.conn.lastRead.Load() > s.checked.UnixNano() {
+		s.severed = false
+	}
 	if s.checked.Before(asked) && !s.severed && !s.IsClosed() {
 		s.severed = s.checkSevered()
 		s.checked = time.Now()
--- a/internal/connection/dialer/severed_test.go
+++ b/internal/connection/dialer/severed_test.go
@@ -148,3 +148,91 @@
 		})
 	}
 }
+
+// stallingConn is a connection that delivers what arrives during a stall at its end, as one does that
+// lost a packet.
+type stallingConn struct {
+	net.Conn
+	from, until time.Time
+}
+
+// Read implements net.Conn.
+func (c *stallingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if now := time.Now(); now.After(c.from) && now.Before(c.until) {
+		time.Sleep(c.until.Sub(now))
+	}
+	return n, err
+}
+
+// newStallingDialer returns a Dialer to a node that answers pings and no call. Its first connection
+// stalls.
+func newStallingDialer(t *testing.T, from, until time.Time) *Dialer {
+	t.Helper()
+	first := true
+	d := New(Config{
+		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+			near, far := net.Pipe()
+			session, err := yamux.Server(sessionizer.NewConn(far), sessionizer.Config())
+			if err != nil {
+				return nil, err
+			}
+			go func() {
+				for {
+					if _, err := session.AcceptStream(); err != nil {
+						session.Close()
+						return
+					}
+				}
+			}()
+			if !first {
+				return near, nil
+			}
+			first = false
+			return &stallingConn{
+				Conn:  near,
+				from:  from,
+				until: until,
+			}, nil
+		},
+		ReadIdleTimeout: time.Minute,
+	})
+	t.Cleanup(d.Close)
+	return d
+}
+
+// callUntilOverdue makes a call of 2 s that is overdue after a time. It reports whether the call
+// ended at its deadline.
+func callUntilOverdue(d *Dialer, overdue time.Duration) bool {
+	const timeout = 2 * time.Second
+	call := &caller.Call{
+		Deadline: time.Now().Add(timeout),
+		Overdue:  &caller.Overdue{},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	time.AfterFunc(overdue, call.Overdue.Notify)
+	_, err := d.Call(ctx, &encoder.Member{
+		PeerAddress: "127.0.0.1:1",
+	}, call)
+	return errors.Is(err, context.DeadlineExceeded)
+}
+
+// TestRecoveredConnectionEndsOverdueCall guards against overdue calls that are ended although their
+// connection delivers again.
+func TestRecoveredConnectionEndsOverdueCall(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	d := newStallingDialer(t, now.Add(100*time.Millisecond), now.Add(time.Second))
+	overdueLater := make(chan bool)
+	go func() {
+		overdueLater <- callUntilOverdue(d, 1500*time.Millisecond)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if callUntilOverdue(d, 150*time.Millisecond) {
+		t.Error("got no end of the call during the stall, want one")
+	}
+	if !<-overdueLater {
+		t.Error("got an end of the later call before its deadline, want none")
+	}
+}
