Leave an overdue call time for a retransmission

A connection counted as severed 150 ms after a ping without an answer if another one answered. TCP on Linux sends a lost packet again after 200 ms at the earliest, so one lost packet ended all overdue calls of a session, at which their backend servers worked. The check now takes 300 ms.

TestLostPacketEndsOverdueCall: the call was ended before, and goes on now (-race, 20 runs beside a load of 22).

--- a/internal/connection/dialer/severed.go
+++ b/internal/connection/dialer/severed.go
@@ -12,8 +12,10 @@
 	// severedPingTimeout is how long the answer to a ping may take. A peer that is slower does
 	// not lose its calls, since it does not answer over a new connection either.
 	severedPingTimeout = 100 * time.Millisecond
-	// severedSettleTime is how long the old connection may be slower than the new one.
-	severedSettleTime = 50 * time.Millisecond
+	// severedSettleTime is how long the old connection may be slower than the new one. With
+	// severedPingTimeout it leaves time for one retransmission, which TCP on Linux makes after
+	// 200 ms at the earliest.
+	severedSettleTime = 200 * time.Millisecond
 )
 
 // endIfSevered ends the stream of an overdue call if its connection is severed: the answer can then
--- a/internal/connection/dialer/severed_test.go
+++ b/internal/connection/dialer/severed_test.go
@@ -218,6 +218,20 @@
 	return errors.Is(err, context.DeadlineExceeded)
 }
 
+// TestLostPacketEndsOverdueCall guards against overdue calls that are ended because their connection
+// waits for the retransmission of one packet.
+func TestLostPacketEndsOverdueCall(t *testing.T) {
+	// minRetransmission is the shortest retransmission timeout of TCP on Linux.
+	const minRetransmission = 200 * time.Millisecond
+	const overdue = 200 * time.Millisecond
+	t.Parallel()
+	now := time.Now()
+	d := newStallingDialer(t, now.Add(overdue/2), now.Add(overdue+minRetransmission+10*time.Millisecond))
+	if !callUntilOverdue(d, overdue) {
+		t.Error("got an end of the call before its deadline, want none")
+	}
+}
+
 // TestRecoveredConnectionEndsOverdueCall guards against overdue calls that are ended although their
 // connection delivers again.
 func TestRecoveredConnectionEndsOverdueCall(t *testing.T) {
