Keep the body of a failure while the other attempt runs

If one of two attempts failed at its backend server and the other one got no answer until the deadline, the failure was passed on then, with a body that the deadline had cut: the caller's connection broke in the answer. Up to 64 KiB of the body are now read before the wait.

TestFailureIsCutAtTheDeadline: status 500 with a broken body before, with the whole body now (-race, 20 runs).

--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -1,7 +1,9 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +23,9 @@
 	hedgeDelayFactor = 5
 	// minHedgeDelay is longer than a wait in a queue or a round trip between regions.
 	minHedgeDelay = 80 * time.Millisecond
+	// maxKeptFailureBytes is how much of the body of a failure is read before the other attempt
+	// ends.
+	maxKeptFailureBytes = 64 << 10
 )
 
 // errSuperseded is the cancellation cause of an attempt whose call was served by another one.
@@ -108,6 +113,7 @@
 	if served {
 		return first
 	}
+	keepBody(first)
 	secondAnswer := <-h.answer
 	o.adopt(second, secondAnswer.Outcome)
 	if isServed(secondAnswer) || first.Outcome != caller.Answered && secondAnswer.Outcome == caller.Answered {
@@ -124,6 +130,29 @@
 	return answer.Outcome == caller.Answered && answer.Status < 500
 }
 
+// keepBody reads the beginning of the body of a failure that waits for the other attempt. Otherwise
+// the body could not be read any more if both attempts last until the deadline.
+func keepBody(answer *caller.Answer) {
+	if answer.Body == nil {
+		return
+	}
+	kept, err := io.ReadAll(io.LimitReader(answer.Body, maxKeptFailureBytes))
+	var reader io.Reader = bytes.NewReader(kept)
+	if err != nil || len(kept) == maxKeptFailureBytes {
+		reader = io.MultiReader(reader, answer.Body)
+	}
+	answer.Body = &keptBody{
+		Reader: reader,
+		Closer: answer.Body,
+	}
+}
+
+// keptBody is a body whose beginning was already read.
+type keptBody struct {
+	io.Reader
+	io.Closer
+}
+
 // adopt takes over what the attempts of second showed. outcome is that of its last one.
 func (o *outboundCall) adopt(second *outboundCall, outcome caller.Outcome) {
 	o.tried = second.tried
@@ -170,6 +199,9 @@
 // endSecond hands over the answer of the second call, or drops it if the first attempt was served
 // before. If second was served, it cancels the first attempt.
 func (h *hedge) endSecond(answer *caller.Answer) {
+	if !isServed(answer) {
+		keepBody(answer)
+	}
 	h.mu.Lock()
 	dropped := h.firstServed
 	served := !dropped && isServed(answer)
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -321,3 +321,42 @@
 		}
 	})
 }
+
+// TestFailureIsCutAtTheDeadline guards against an answer of a backend server whose body breaks because
+// it waited for the other attempt until the deadline.
+func TestFailureIsCutAtTheDeadline(t *testing.T) {
+	lost := attemptPlan{
+		after: time.Hour,
+	}
+	failed := attemptPlan{
+		after:  400 * time.Millisecond,
+		status: 500,
+	}
+	for _, test := range []struct {
+		name string
+		plan []attemptPlan
+	}{
+		{"first attempt fails", []attemptPlan{failed, lost}},
+		{"second attempt fails", []attemptPlan{lost, failed}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := &plannedTargets{}
+			d := startPlan(t, p, test.plan...)
+			d.config.Transport = transport(func(ctx context.Context, target string, call *caller.Call) (*caller.Answer, error) {
+				answer, err := p.Call(ctx, target, call)
+				if err == nil {
+					answer.Body = &boundBody{
+						Reader: answer.Body,
+						ctx:    ctx,
+					}
+				}
+				return answer, err
+			})
+			answer := d.Dispatch(context.Background(), request("r-1"))
+			defer answer.Close()
+			if content, err := io.ReadAll(answer.Body); answer.Status != 500 || string(content) != "400ms" || err != nil {
+				t.Errorf("%s: got status %d with the body %q (%v), want 500 with 400ms", test.name, answer.Status, content, err)
+			}
+		})
+	}
+}
