Keep the session to a slow peer when a check opens another

Each check of an overdue call at a peer that answers no pings made its new session the current one, so that the calls after it went there, became overdue and had another one opened: 25 connections in 5 s and 9 to 11 sessions at once for calls every 50 ms. The old session stays the current one if the peer is silent on the new one too.

--- a/internal/connection/dialer/severed.go
+++ b/internal/connection/dialer/severed.go
@@ -52,9 +52,24 @@
 	ctx, cancel := context.WithTimeout(context.Background(), severedPingTimeout)
 	defer cancel()
 	other, err := s.peer.connect(ctx, s)
-	if err != nil || !answersPing(other, severedPingTimeout) {
+	if err != nil {
+		return false
+	}
+	if !answersPing(other, severedPingTimeout) {
+		s.replace(other)
 		return false
 	}
 	time.Sleep(severedSettleTime)
 	return s.conn.lastRead.Load() <= started.UnixNano()
 }
+
+// replace makes s the current session again in place of other, unless s is closed. Otherwise each
+// check at a slow peer would leave a session with the calls that began during the check.
+func (s *session) replace(other *session) {
+	p := s.peer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.session == other && !s.IsClosed() {
+		p.session = s
+	}
+}
--- a/internal/connection/dialer/severed_test.go
+++ b/internal/connection/dialer/severed_test.go
@@ -250,3 +250,29 @@
 		t.Error("got an end of the later call before its deadline, want none")
 	}
 }
+
+// TestSlowPeerGetsSessions guards against sessions that pile up at a peer that is slow already,
+// because each check of an overdue call opens one.
+func TestSlowPeerGetsSessions(t *testing.T) {
+	t.Parallel()
+	stopped := make(chan struct{})
+	d := New(Config{
+		Dial: startSilentPeer(t, make(chan struct{}), stopped),
+	})
+	t.Cleanup(d.Close)
+	close(stopped)
+	var calls sync.WaitGroup
+	most := 0
+	for range 60 {
+		calls.Go(func() {
+			callUntilOverdue(d, 80*time.Millisecond)
+		})
+		time.Sleep(50 * time.Millisecond)
+		most = max(most, len(d.openSessions()))
+	}
+	calls.Wait()
+	// Besides the current session, there are those that calls use which began during a check.
+	if want := 6; most > want {
+		t.Errorf("got %d open sessions at once, want at most %d", most, want)
+	}
+}
