Show the router the latency of overdue attempts up to the delay

Since overdue attempts are left out of the latency of their target, one whose every answer is overdue kept the average of before, and its answers took back the failures that it got for being overdue: it was neither slow nor ejected, and got its full share. The latency now counts up to the delay of the hedge, at which one late answer does not make a target slow.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -315,9 +315,8 @@
 			observation.Slowdown = call.Expected.Slowdown
 		}
 		observation.Failed = answer.Reason == caller.ReasonBackendUnreachable || answer.Reason == caller.ReasonBackendFailed
-		// The latency of an overdue attempt would make its target look slow for a while.
-		if answer.Outcome == caller.Answered && !h.isOverdue() {
-			observation.Latency = now.Sub(started)
+		if answer.Outcome == caller.Answered {
+			observation.Latency = h.limitLatency(now.Sub(started))
 		}
 		if answer.Load.SpeedReported {
 			d.speedReported.Store(now.UnixNano())
--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -180,6 +180,16 @@
 	return h.overdue
 }
 
+// limitLatency returns the latency of the first attempt as the router should see it: at most the
+// delay, so that one late answer does not make its target look slow, but many do. For a nil hedge it
+// returns latency.
+func (h *hedge) limitLatency(latency time.Duration) time.Duration {
+	if h == nil {
+		return latency
+	}
+	return min(latency, h.delay)
+}
+
 // endFirst records the end of the first attempt, and whether a backend server served it. It returns
 // the second call if there is one, and whether the first attempt was served before that. If so, it
 // cancels the second call, whose answer is then dropped.
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -360,3 +360,44 @@
 		})
 	}
 }
+
+// TestSteadilySlowTargetGetsItsShare guards against a target that gets as many calls as the others
+// although each of them is overdue there, and the budget permits no second attempts.
+func TestSteadilySlowTargetGetsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calls = 400
+		slow := false
+		atSlow := 0
+		d := newTestDispatcher(t, func(ctx context.Context, target string, call *caller.Call) (*caller.Answer, error) {
+			work := 30 * time.Millisecond
+			if slow && target == "n-1" {
+				work = 400 * time.Millisecond
+				if call.Attempt == 0 {
+					atSlow++
+				}
+			}
+			select {
+			case <-time.After(work):
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			answer := answered(200, 0)
+			answer.InternalRoute = true
+			answer.Load.IsLeaf = true
+			return answer, nil
+		})
+		for range 100 {
+			d.Dispatch(context.Background(), request("r-1")).Close()
+		}
+		slow = true
+		for range calls {
+			time.Sleep(10 * time.Millisecond)
+			for budget := d.repeatBudget(request("r-1")); budget.Withdraw(time.Now()); {
+			}
+			d.Dispatch(context.Background(), request("r-1")).Close()
+		}
+		if atSlow > calls/5 {
+			t.Errorf("got %d of %d calls at the slow one of two targets, want at most a fifth", atSlow, calls)
+		}
+	})
+}
