--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -229,7 +229,17 @@
 			for range 20 {
 				d.Dispatch(context.Background(), request("r-1")).Close()
 			}
-			p.plan, p.attempts, second = []attemptPlan{{250 * time.Millisecond, 200, 0}, {100 * time.Millisecond, 200, 0}}, 0, true
+			p.plan = []attemptPlan{
+				{
+					after:  250 * time.Millisecond,
+					status: 200,
+				},
+				{
+					after:  100 * time.Millisecond,
+					status: 200,
+				},
+			}
+			p.attempts, second = 0, true
 			answer := d.Dispatch(context.Background(), request("r-1"))
 			defer answer.Close()
 			synctest.Wait()
