--- a/internal/connection/dialer/severed_test.go
+++ b/internal/connection/dialer/severed_test.go
@@ -148,3 +148,131 @@
 		})
 	}
 }
+
+// stallingConn is a connection that delivers what arrives during a stall at its end, as one does that
+// lost a packet.
+type stallingConn struct {
+	net.Conn
+	from, until time.Time
+}
+
+// Read implements net.Conn.
+func (c *stallingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if now := time.Now(); now.After(c.from) && now.Before(c.until) {
+		time.Sleep(c.until.Sub(now))
+	}
+	return n, err
+}
+
+// newStallingDialer returns a Dialer to a node that answers pings and no call. Its first connection
+// stalls.
+func newStallingDialer(t *testing.T, from, until time.Time) *Dialer {
+	t.Helper()
+	first := true
+	d := New(Config{
+		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+			near, far := net.Pipe()
+			session, err := yamux.Server(sessionizer.NewConn(far), sessionizer.Config())
+			if err != nil {
+				return nil, err
+			}
+			go func() {
+				for {
+					if _, err := session.AcceptStream(); err != nil {
+						session.Close()
+						return
+					}
+				}
+			}()
+			if !first {
+				return near, nil
+			}
+			first = false
+			return &stallingConn{
+				Conn:  near,
+				from:  from,
+				until: until,
+			}, nil
+		},
+		ReadIdleTimeout: time.Minute,
+	})
+	t.Cleanup(d.Close)
+	return d
+}
+
+// callUntilOverdue makes a call of 2 s that is overdue after a time. It reports whether the call
+// ended at its deadline.
+func callUntilOverdue(d *Dialer, overdue time.Duration) bool {
+	const timeout = 2 * time.Second
+	call := &caller.Call{
+		Deadline: time.Now().Add(timeout),
+		Overdue:  &caller.Overdue{},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	time.AfterFunc(overdue, call.Overdue.Notify)
+	_, err := d.Call(ctx, &encoder.Member{
+		PeerAddress: "127.0.0.1:1",
+	}, call)
+	return errors.Is(err, context.DeadlineExceeded)
+}
+
+// TestLostPacketEndsOverdueCall guards against overdue calls that are ended because their connection
+// waits for the retransmission of one packet.
+func TestLostPacketEndsOverdueCall(t *testing.T) {
+	// minRetransmission is the shortest retransmission timeout of TCP on Linux.
+	const minRetransmission = 200 * time.Millisecond
+	const overdue = 200 * time.Millisecond
+	t.Parallel()
+	now := time.Now()
+	d := newStallingDialer(t, now.Add(overdue/2), now.Add(overdue+minRetransmission+10*time.Millisecond))
+	if !callUntilOverdue(d, overdue) {
+		t.Error("got an end of the call before its deadline, want none")
+	}
+}
+
+// TestRecoveredConnectionEndsOverdueCall guards against overdue calls that are ended although their
+// connection delivers again.
+func TestRecoveredConnectionEndsOverdueCall(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	d := newStallingDialer(t, now.Add(100*time.Millisecond), now.Add(time.Second))
+	overdueLater := make(chan bool)
+	go func() {
+		overdueLater <- callUntilOverdue(d, 1500*time.Millisecond)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if callUntilOverdue(d, 150*time.Millisecond) {
+		t.Error("got no end of the call during the stall, want one")
+	}
+	if !<-overdueLater {
+		t.Error("got an end of the later call before its deadline, want none")
+	}
+}
+
+// TestSlowPeerGetsSessions guards against sessions that pile up at a peer that is slow already,
+// because each check of an overdue call opens one.
+func TestSlowPeerGetsSessions(t *testing.T) {
+	t.Parallel()
+	stopped := make(chan struct{})
+	d := New(Config{
+		Dial: startSilentPeer(t, make(chan struct{}), stopped),
+	})
+	t.Cleanup(d.Close)
+	close(stopped)
+	var calls sync.WaitGroup
+	most := 0
+	for range 60 {
+		calls.Go(func() {
+			callUntilOverdue(d, 80*time.Millisecond)
+		})
+		time.Sleep(50 * time.Millisecond)
+		most = max(most, len(d.openSessions()))
+	}
+	calls.Wait()
+	// Besides the current session, there are those that calls use which began during a check.
+	if want := 6; most > want {
+		t.Errorf("got %d open sessions at once, want at most %d", most, want)
+	}
+}
--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -1,7 +1,9 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +23,9 @@
 	hedgeDelayFactor = 5
 	// minHedgeDelay is longer than a wait in a queue or a round trip between regions.
 	minHedgeDelay = 80 * time.Millisecond
+	// maxKeptFailureBytes is how much of the body of a failure is read before the other attempt
+	// ends.
+	maxKeptFailureBytes = 64 << 10
 )
 
 // errSuperseded is the cancellation cause of an attempt whose call was served by another one.
@@ -46,13 +51,16 @@
 	overdue bool
 	// denied says why there is no second attempt yet.
 	denied recorder.NoAttempt
-	// firstEnded and firstServed tell how the first attempt ended.
+	// firstEnded reports whether the first attempt has ended, and firstServed whether it was served
+	// before second. At most one of firstServed and secondServed is set.
 	firstEnded  bool
 	firstServed bool
-	// second makes the attempts beside the first one, or is nil. answer receives its answer.
+	// second makes the attempts beside the first one, or is nil. answer receives its answer, unless
+	// the first attempt was served. secondServed reports whether second was served before that.
 	second       *outboundCall
 	cancelSecond context.CancelCauseFunc
 	answer       chan *caller.Answer
+	secondServed bool
 }
 
 // hedgeDelay returns the time after which another attempt is made beside one at target, or 0 for
@@ -95,18 +103,19 @@
 	h.start()
 	started := time.Now()
 	answer, err := o.d.send(firstCtx, target, o.member, call, h)
-	second := h.endFirst(err == nil && isServed(answer))
+	second, served := h.endFirst(err == nil && isServed(answer))
 	first := o.finishAttempt(firstCtx, call, started, answer, err)
 	if second == nil {
 		return first
 	}
 	// The permit for a repeat is spent.
 	o.repeated = true
-	if isServed(first) {
+	if served {
 		return first
 	}
+	keepBody(first)
 	secondAnswer := <-h.answer
-	o.adopt(second)
+	o.adopt(second, secondAnswer.Outcome)
 	if isServed(secondAnswer) || first.Outcome != caller.Answered && secondAnswer.Outcome == caller.Answered {
 		first.Close()
 		o.member, o.end.Cause, o.end.Detail = second.member, second.end.Cause, second.end.Detail
@@ -121,11 +130,34 @@
 	return answer.Outcome == caller.Answered && answer.Status < 500
 }
 
-// adopt takes over what the attempts of second showed.
-func (o *outboundCall) adopt(second *outboundCall) {
+// keepBody reads the beginning of the body of a failure that waits for the other attempt. Otherwise
+// the body could not be read any more if both attempts last until the deadline.
+func keepBody(answer *caller.Answer) {
+	if answer.Body == nil {
+		return
+	}
+	kept, err := io.ReadAll(io.LimitReader(answer.Body, maxKeptFailureBytes))
+	var reader io.Reader = bytes.NewReader(kept)
+	if err != nil || len(kept) == maxKeptFailureBytes {
+		reader = io.MultiReader(reader, answer.Body)
+	}
+	answer.Body = &keptBody{
+		Reader: reader,
+		Closer: answer.Body,
+	}
+}
+
+// keptBody is a body whose beginning was already read.
+type keptBody struct {
+	io.Reader
+	io.Closer
+}
+
+// adopt takes over what the attempts of second showed. outcome is that of its last one.
+func (o *outboundCall) adopt(second *outboundCall, outcome caller.Outcome) {
 	o.tried = second.tried
 	o.attemptCount = max(o.attemptCount, second.attemptCount)
-	o.mayHaveRun = o.mayHaveRun || second.mayHaveRun
+	o.mayHaveRun = o.mayHaveRun || second.mayHaveRun || outcome != caller.NotRun
 	o.reachedBackend = o.reachedBackend || second.reachedBackend
 	o.pathThreshold = max(o.pathThreshold, second.pathThreshold)
 	o.end.Unanswered += second.end.Unanswered
@@ -148,19 +180,51 @@
 	return h.overdue
 }
 
-// endFirst records the end of the first attempt. It returns the second call if there is one. If the
-// first attempt was served, it cancels the second call, whose answer is then dropped.
-func (h *hedge) endFirst(served bool) *outboundCall {
+// limitLatency returns the latency of the first attempt as the router should see it: at most the
+// delay, so that one late answer does not make its target look slow, but many do. For a nil hedge it
+// returns latency.
+func (h *hedge) limitLatency(latency time.Duration) time.Duration {
+	if h == nil {
+		return latency
+	}
+	return min(latency, h.delay)
+}
+
+// endFirst records the end of the first attempt, and whether a backend server served it. It returns
+// the second call if there is one, and whether the first attempt was served before that. If so, it
+// cancels the second call, whose answer is then dropped.
+func (h *hedge) endFirst(served bool) (*outboundCall, bool) {
 	h.mu.Lock()
 	h.timer.Stop()
-	h.firstEnded, h.firstServed = true, served
-	second, cancelSecond := h.second, h.cancelSecond
+	h.firstEnded, h.firstServed = true, served && !h.secondServed
 	h.first.end.NoHedge = h.denied
+	second, cancelSecond, servedFirst := h.second, h.cancelSecond, h.firstServed
 	h.mu.Unlock()
-	if second != nil && served {
+	if second != nil && servedFirst {
 		cancelSecond(errSuperseded)
 	}
-	return second
+	return second, servedFirst
+}
+
+// endSecond hands over the answer of the second call, or drops it if the first attempt was served
+// before. If second was served, it cancels the first attempt.
+func (h *hedge) endSecond(answer *caller.Answer) {
+	if !isServed(answer) {
+		keepBody(answer)
+	}
+	h.mu.Lock()
+	dropped := h.firstServed
+	served := !dropped && isServed(answer)
+	h.secondServed = served
+	h.mu.Unlock()
+	if dropped {
+		answer.Close()
+		return
+	}
+	if served {
+		h.cancelFirst(errSuperseded)
+	}
+	h.answer <- answer
 }
 
 // onDelay makes the second attempt, or tries again after the delay if it is not permitted now.
@@ -187,11 +251,7 @@
 		return
 	}
 	d.record(second.call, recorder.Retry, caller.ReasonOverdue, caller.Answered, "", 0)
-	answer := second.repeatUntilDone(ctx)
-	if isServed(answer) {
-		h.cancelFirst(errSuperseded)
-	}
-	h.deliver(answer)
+	h.endSecond(second.repeatUntilDone(ctx))
 }
 
 // copyFirst returns the call for the attempts beside the first one, or nil if that has ended. It
@@ -212,17 +272,21 @@
 }
 
 // permitHedge reports whether another attempt may be made while one is open, and spends what it
-// costs.
+// costs. The repeat comes last, because the budget takes none back. That the target's backend server
+// makes no calls was known when the attempt started; a silent target's load report expires.
 func (o *outboundCall) permitHedge() bool {
 	if o.lacksTime() {
 		o.noAttempt(recorder.NoTimeLeft)
 		return false
 	}
-	if !o.spendRepeat(caller.NewFailure(caller.Unknown, caller.ReasonOverdue)) {
+	if permitted, _ := o.spendRetry(caller.ReasonOverdue); !permitted {
 		return false
 	}
-	permitted, _ := o.spendRetry(caller.ReasonOverdue)
-	return permitted
+	if o.withdrawRepeat() {
+		return true
+	}
+	o.pool.Return(1)
+	return false
 }
 
 // deny notes why there is no second attempt, and starts the delay again.
@@ -247,14 +311,3 @@
 	h.answer = make(chan *caller.Answer, 1)
 	return true
 }
-
-// deliver hands over the answer of the second call, or drops it if the first attempt was served.
-func (h *hedge) deliver(answer *caller.Answer) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.firstServed {
-		answer.Close()
-		return
-	}
-	h.answer <- answer
-}
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -207,3 +207,228 @@
 		}
 	})
 }
+
+// boundBody is an answer body that breaks when the context of its attempt ends, as one does that
+// arrives over a connection.
+type boundBody struct {
+	io.Reader
+	ctx context.Context
+}
+
+// Read implements io.Reader.
+func (b *boundBody) Read(p []byte) (int, error) {
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return b.Reader.Read(p)
+}
+
+// Close implements io.Closer.
+func (b *boundBody) Close() error {
+	return nil
+}
+
+// TestAttemptsThatEndTogetherCancelEachOther guards against an answer whose body breaks because the
+// other attempt was served at the same moment.
+func TestAttemptsThatEndTogetherCancelEachOther(t *testing.T) {
+	const calls = 100
+	broken := 0
+	for range calls {
+		synctest.Test(t, func(t *testing.T) {
+			p := &plannedTargets{}
+			second := false
+			d := newTestDispatcher(t, func(ctx context.Context, target string, call *caller.Call) (*caller.Answer, error) {
+				answer, err := p.Call(ctx, target, call)
+				if second && err == nil {
+					answer.Body = &boundBody{
+						Reader: answer.Body,
+						ctx:    ctx,
+					}
+				}
+				return answer, err
+			})
+			for range 20 {
+				d.Dispatch(context.Background(), request("r-1")).Close()
+			}
+			p.plan = []attemptPlan{
+				{
+					after:  250 * time.Millisecond,
+					status: 200,
+				},
+				{
+					after:  100 * time.Millisecond,
+					status: 200,
+				},
+			}
+			p.attempts, second = 0, true
+			answer := d.Dispatch(context.Background(), request("r-1"))
+			defer answer.Close()
+			synctest.Wait()
+			if _, err := io.ReadAll(answer.Body); err != nil {
+				broken++
+			}
+		})
+	}
+	if broken > 0 {
+		t.Errorf("got %d broken answers of %d calls, want 0", broken, calls)
+	}
+}
+
+// TestRefusedFirstAttemptHidesTheSecond guards against a call that is said not to have run although
+// its second attempt may have.
+func TestRefusedFirstAttemptHidesTheSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &plannedTargets{}
+		d := startPlan(t, p, attemptPlan{
+			after:   900 * time.Millisecond,
+			refusal: caller.ReasonQueueTimeout,
+		}, attemptPlan{
+			after: time.Hour,
+		})
+		answer := d.Dispatch(context.Background(), request("r-1"))
+		defer answer.Close()
+		if p.attempts != 2 || answer.Outcome != caller.Unknown {
+			t.Errorf("got the outcome %s after %d attempts, want unknown after 2", answer.Outcome, p.attempts)
+		}
+	})
+}
+
+// TestDeniedHedgesUseUpTheBudget guards against a call without an allowance that takes a repeat from
+// the budget after each delay and makes no attempt with it.
+func TestDeniedHedgesUseUpTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &plannedTargets{}
+		refused := attemptPlan{
+			refusal: caller.ReasonLeaving,
+		}
+		// The refusal takes the allowance of the call along.
+		d := startPlan(t, p, refused, attemptPlan{
+			after:  900 * time.Millisecond,
+			status: 200,
+		})
+		budget := d.repeatBudget(request("r-1"))
+		for budget.Withdraw(time.Now()) {
+		}
+		for range 100 {
+			budget.RecordAttempt(time.Now())
+		}
+		d.Dispatch(context.Background(), request("r-1")).Close()
+		left := 0
+		for budget.Withdraw(time.Now()) {
+			left++
+		}
+		// At a half-life of 2 s, 10 of the 14 repeats are left after 0.9 s.
+		if want := 10; p.attempts != 2 || left < want {
+			t.Errorf("got %d repeats left after %d attempts, want at least %d after 2", left, p.attempts, want)
+		}
+	})
+}
+
+// TestSilentTargetIsNoLeaf guards against a lost attempt that nobody repeats because the last load
+// report of its silent target has expired.
+func TestSilentTargetIsNoLeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &plannedTargets{}
+		d := startPlan(t, p, attemptPlan{
+			after: time.Hour,
+		}, attemptPlan{
+			after:  30 * time.Millisecond,
+			status: 200,
+		})
+		budget := d.repeatBudget(request("r-1"))
+		for budget.Withdraw(time.Now()) {
+		}
+		time.AfterFunc(1200*time.Millisecond, func() {
+			for range 20 {
+				budget.RecordAttempt(time.Now())
+			}
+		})
+		call := request("r-1")
+		call.Deadline = time.Now().Add(3 * time.Second)
+		answer := d.Dispatch(context.Background(), call)
+		defer answer.Close()
+		if answer.Status != 200 || p.attempts != 2 {
+			t.Errorf("got status %d (%s) after %d attempts, want 200 after 2", answer.Status, answer.Reason, p.attempts)
+		}
+	})
+}
+
+// TestFailureIsCutAtTheDeadline guards against an answer of a backend server whose body breaks because
+// it waited for the other attempt until the deadline.
+func TestFailureIsCutAtTheDeadline(t *testing.T) {
+	lost := attemptPlan{
+		after: time.Hour,
+	}
+	failed := attemptPlan{
+		after:  400 * time.Millisecond,
+		status: 500,
+	}
+	for _, test := range []struct {
+		name string
+		plan []attemptPlan
+	}{
+		{"first attempt fails", []attemptPlan{failed, lost}},
+		{"second attempt fails", []attemptPlan{lost, failed}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := &plannedTargets{}
+			d := startPlan(t, p, test.plan...)
+			d.config.Transport = transport(func(ctx context.Context, target string, call *caller.Call) (*caller.Answer, error) {
+				answer, err := p.Call(ctx, target, call)
+				if err == nil {
+					answer.Body = &boundBody{
+						Reader: answer.Body,
+						ctx:    ctx,
+					}
+				}
+				return answer, err
+			})
+			answer := d.Dispatch(context.Background(), request("r-1"))
+			defer answer.Close()
+			if content, err := io.ReadAll(answer.Body); answer.Status != 500 || string(content) != "400ms" || err != nil {
+				t.Errorf("%s: got status %d with the body %q (%v), want 500 with 400ms", test.name, answer.Status, content, err)
+			}
+		})
+	}
+}
+
+// TestSteadilySlowTargetGetsItsShare guards against a target that gets as many calls as the others
+// although each of them is overdue there, and the budget permits no second attempts.
+func TestSteadilySlowTargetGetsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calls = 400
+		slow := false
+		atSlow := 0
+		d := newTestDispatcher(t, func(ctx context.Context, target string, call *caller.Call) (*caller.Answer, error) {
+			work := 30 * time.Millisecond
+			if slow && target == "n-1" {
+				work = 400 * time.Millisecond
+				if call.Attempt == 0 {
+					atSlow++
+				}
+			}
+			select {
+			case <-time.After(work):
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			answer := answered(200, 0)
+			answer.InternalRoute = true
+			answer.Load.IsLeaf = true
+			return answer, nil
+		})
+		for range 100 {
+			d.Dispatch(context.Background(), request("r-1")).Close()
+		}
+		slow = true
+		for range calls {
+			time.Sleep(10 * time.Millisecond)
+			for budget := d.repeatBudget(request("r-1")); budget.Withdraw(time.Now()); {
+			}
+			d.Dispatch(context.Background(), request("r-1")).Close()
+		}
+		if atSlow > calls/5 {
+			t.Errorf("got %d of %d calls at the slow one of two targets, want at most a fifth", atSlow, calls)
+		}
+	})
+}
