Wait for the end of a session only while it is read

A session that receives bytes of another protocol, as from an address that another program uses by now, reads no more. Close now waits 0.1 s for the reader, and for the other end only while there is one.

--- a/internal/connection/sessionizer/close_test.go
+++ b/internal/connection/sessionizer/close_test.go
@@ -77,3 +77,13 @@
 	far.Close()
 	<-closed
 }
+
+// Close must not wait long for a peer's end that nobody would read.
+func TestCloseWaitsWithoutAReader(t *testing.T) {
+	conn, _ := newTCPPair(t)
+	started := time.Now()
+	conn.Close()
+	if got := time.Since(started); got > closeTimeout/2 {
+		t.Errorf("Close took %s, want about %s", got, readerTimeout)
+	}
+}
--- a/internal/connection/sessionizer/conn.go
+++ b/internal/connection/sessionizer/conn.go
@@ -13,6 +13,9 @@
 	// closeTimeout limits how long Close waits for the peer, and how long after a failed write
 	// the received bytes may be read.
 	closeTimeout = 2 * time.Second
+	// readerTimeout limits how long Close waits for a reader. A session that receives
+	// bytes of another protocol reads no more, and its calls must not wait.
+	readerTimeout = 100 * time.Millisecond
 )
 
 // Conn sends what is written in quick succession with one system call. A multiplexed
@@ -30,6 +33,9 @@
 	sending bool
 	closed  bool
 	err     error
+	// reads counts the calls of Read. reading is set during one.
+	reads   int
+	reading bool
 	// readEnded is set when a read has failed, or when Close no longer waits for one.
 	readEnded bool
 }
@@ -63,11 +69,19 @@
 	return len(p), nil
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. One goroutine at a time may read.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.reads++
+	c.reading = true
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
 	if err != nil {
-		c.endRead()
+		c.readEnded = true
+		c.changed.Broadcast()
 	}
 	return n, err
 }
@@ -79,6 +93,17 @@
 	c.changed.Broadcast()
 }
 
+// endIdleRead ends the wait for the reader if it has not read since it had called Read so many
+// times.
+func (c *Conn) endIdleRead(reads int) {
+	c.mu.Lock()
+	idle := !c.reading && c.reads == reads
+	c.mu.Unlock()
+	if idle {
+		c.endRead()
+	}
+}
+
 // Close implements net.Conn. It sends the pending bytes and the end, and reads on until the peer
 // has closed its end too, unless that takes too long. A connection that is closed with unread
 // bytes, or gets more of them, is reset, which destroys what the peer has not received yet. If
@@ -93,6 +118,11 @@
 	c.Conn.SetWriteDeadline(time.Now().Add(closeTimeout))
 	timer := time.AfterFunc(closeTimeout, c.endRead)
 	defer timer.Stop()
+	reads := c.reads
+	readerTimer := time.AfterFunc(readerTimeout, func() {
+		c.endIdleRead(reads)
+	})
+	defer readerTimer.Stop()
 	c.changed.Broadcast()
 	for (c.sending || len(c.pending) > 0) && c.err == nil {
 		c.changed.Wait()
