--- a/internal/process/runner/deployment_test.go
+++ b/internal/process/runner/deployment_test.go
@@ -367,13 +367,7 @@
 // each other and the first configuration.
 func (d *deployment) startPair() (a, b *testNode) {
 	d.t.Helper()
-	return d.startPairWith("")
-}
-
-// startPairWith is startPair with the rules in extra.
-func (d *deployment) startPairWith(extra string) (a, b *testNode) {
-	d.t.Helper()
-	d.configure(1, extra)
+	d.configure(1, "")
 	a, b = d.start("a"), d.start("b")
 	d.reportState(a, "ready")
 	d.reportState(b, "ready")
--- a/internal/process/runner/platform_stop_test.go
+++ b/internal/process/runner/platform_stop_test.go
@@ -41,7 +41,7 @@
 			reader = bufio.NewReader(conn)
 		}
 		id := fmt.Sprintf("c%d-%d", client, i)
-		fmt.Fprintf(conn, "POST /patient/1 HTTP/1.1\r\nHost: h.example\r\nX-Laburnumshelf-Request-Id: %s\r\nX-Laburnumshelf-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", id)
+		fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: h.example\r\nX-Laburnumshelf-Request-Id: %s\r\nX-Laburnumshelf-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", id)
 		status, reusable := readStatus(reader)
 		exchanges = append(exchanges, exchange{
 			id:     id,
@@ -71,13 +71,12 @@
 // TestPlatformStopUnderLoadCutsNoAcceptedRequest stops a node while clients press on it with
 // kept connections, once the node that takes their requests and once the node beside the
 // backend server that runs them. A request that ran has its answer, none runs twice, and a
-// refusal as not run is true. The requests have 5 s, so that a process that stands still for a while
-// does not bring them to their deadline.
+// refusal as not run is true.
 func TestPlatformStopUnderLoadCutsNoAcceptedRequest(t *testing.T) {
 	for _, stopped := range []string{"entry", "target"} {
 		t.Run(stopped, func(t *testing.T) {
 			d := newDeployment(t)
-			target, entry := d.startPairWith(`,{"name":"patient","kind":"non_idempotent","aimS":1,"priority":0,"routeMatch":{"pathPrefix":"/patient/"},"routeAction":{"service":"a","timeoutS":5,"maxAttempts":2}}`)
+			target, entry := d.startPair()
 			target.delay.Store(int64(100 * time.Millisecond))
 			leaving := entry
 			if stopped == "target" {
