--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -3,7 +3,8 @@
 //
 // A session that has open calls but receives no data is probed with a ping. If there
 // is no answer, the session is closed and the next call opens a new one. This is needed
-// because a device between the two nodes may have dropped the connection's state. A
+// because a device between the two nodes may have dropped the connection's state. An
+// overdue call is ended sooner if its connection is severed, see severed.go. A
 // session without calls is closed after a while, see maintenance.go.
 //
 // # Usage
--- a/internal/connection/dialer/severed_test.go
+++ b/internal/connection/dialer/severed_test.go
@@ -110,9 +110,19 @@
 		deaf, stopped    bool
 		wantsDeadlineEnd bool
 	}{
-		{"the backend server is slow", false, false, true},
-		{"the peer is slow", false, true, true},
-		{"the connection is severed", true, false, false},
+		{
+			name:             "the backend server is slow",
+			wantsDeadlineEnd: true,
+		},
+		{
+			name:             "the peer is slow",
+			stopped:          true,
+			wantsDeadlineEnd: true,
+		},
+		{
+			name: "the connection is severed",
+			deaf: true,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 // Package dispatcher implements the caller's side of a call. At the entry of the call
 // graph, it refuses calls early that targets would refuse. It chooses a target for each
-// attempt, and decides whether another attempt follows.
+// attempt, and decides whether another attempt follows, or is made beside one that takes
+// much longer than usual (see hedge.go).
 //
 // # Usage
 //
--- a/internal/request/dispatcher/end_test.go
+++ b/internal/request/dispatcher/end_test.go
@@ -15,7 +15,12 @@
 // TestLogDoesNotSayWhatEndedACall guards against answers of the node's own whose cause the log and
 // the counters do not tell.
 func TestLogDoesNotSayWhatEndedACall(t *testing.T) {
-	connectionLost := func() error { return errors.New("session closed") }
+	connectionLost := func() error {
+		return errors.New("session closed")
+	}
+	stopping := func() error {
+		return errors.Mark(connectionLost(), caller.ErrStopping)
+	}
 	for _, test := range []struct {
 		name       string
 		fail       func() error
@@ -24,10 +29,36 @@
 		unanswered int
 		noAttempt  recorder.NoAttempt
 	}{
-		{"deadline", nil, time.Hour, recorder.EndedByDeadline, 1, recorder.NoTimeLeft},
-		{"caller", nil, 300 * time.Millisecond, recorder.EndedByCaller, 1, recorder.NoCaller},
-		{"connection", connectionLost, time.Hour, recorder.EndedByConnection, 1, recorder.NoRepeatOfRuns},
-		{"stop", func() error { return errors.Mark(connectionLost(), caller.ErrStopping) }, time.Hour, recorder.EndedByStop, 1, recorder.NoRepeatOfRuns},
+		{
+			name:       "deadline",
+			giveUp:     time.Hour,
+			cause:      recorder.EndedByDeadline,
+			unanswered: 1,
+			noAttempt:  recorder.NoTimeLeft,
+		},
+		{
+			name:       "caller",
+			giveUp:     300 * time.Millisecond,
+			cause:      recorder.EndedByCaller,
+			unanswered: 1,
+			noAttempt:  recorder.NoCaller,
+		},
+		{
+			name:       "connection",
+			fail:       connectionLost,
+			giveUp:     time.Hour,
+			cause:      recorder.EndedByConnection,
+			unanswered: 1,
+			noAttempt:  recorder.NoRepeatOfRuns,
+		},
+		{
+			name:       "stop",
+			fail:       stopping,
+			giveUp:     time.Hour,
+			cause:      recorder.EndedByStop,
+			unanswered: 1,
+			noAttempt:  recorder.NoRepeatOfRuns,
+		},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			d := newTestDispatcher(t, func(ctx context.Context, _ string, _ *caller.Call) (*caller.Answer, error) {
--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -15,14 +15,12 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/router"
 )
 
-// Hedging parameters. An attempt is overdue, and a second one is made beside it, after
-// hedgeDelayFactor times the typical latency of its route.
+// Hedging parameters.
 const (
-	// hedgeDelayFactor is large enough for the variation in the run time of backend servers, and
-	// small enough to leave time for another attempt before the deadline.
+	// An attempt is overdue, and a second one is made beside it, after hedgeDelayFactor times
+	// the typical latency of its route, but at least after minHedgeDelay.
 	hedgeDelayFactor = 5
-	// minHedgeDelay is longer than a wait in a queue or a round trip between regions.
-	minHedgeDelay = 80 * time.Millisecond
+	minHedgeDelay    = 80 * time.Millisecond
 	// maxKeptFailureBytes is how much of the body of a failure is read before the other attempt
 	// ends.
 	maxKeptFailureBytes = 64 << 10
--- a/internal/request/dispatcher/hedge_test.go
+++ b/internal/request/dispatcher/hedge_test.go
@@ -90,9 +90,9 @@
 	return d
 }
 
-// TestCallIsServedByOneOfTwoAttempts guards against a second attempt that ends the first one before
+// TestSlowAttemptIsEndedBeforeTheOtherIsServed guards against a second attempt that ends the first one before
 // either is served, and against attempts and answers that stay open after one was served.
-func TestCallIsServedByOneOfTwoAttempts(t *testing.T) {
+func TestSlowAttemptIsEndedBeforeTheOtherIsServed(t *testing.T) {
 	const slow, slower = 400 * time.Millisecond, 600 * time.Millisecond
 	lost := attemptPlan{
 		after: time.Hour,
@@ -105,14 +105,119 @@
 		took     time.Duration
 		canceled int
 	}{
-		{"second attempt is faster", []attemptPlan{lost, {30 * time.Millisecond, 200, 0}}, "30ms", 200, 180 * time.Millisecond, 1},
-		{"first attempt is faster", []attemptPlan{{slow, 200, 0}, lost}, "400ms", 200, slow, 1},
-		{"second attempt is refused", []attemptPlan{{slow, 200, 0}, {0, 0, caller.ReasonHopeless}}, "400ms", 200, slow, 0},
-		{"second attempt loses its session", []attemptPlan{{slow, 200, 0}, {20 * time.Millisecond, 0, 0}}, "400ms", 200, slow, 0},
-		{"first attempt loses its session", []attemptPlan{{slow, 0, 0}, {slow, 200, 0}}, "400ms", 200, 550 * time.Millisecond, 0},
-		{"first attempt fails at its backend server", []attemptPlan{{slow, 500, 0}, {slow, 200, 0}}, "400ms", 200, 550 * time.Millisecond, 0},
-		{"both fail, one at its backend server", []attemptPlan{{slower, 0, 0}, {slow, 500, 0}}, "400ms", 500, slower, 0},
-		{"both take too long", []attemptPlan{lost, lost}, "", 0, time.Second, 2},
+		{
+			name: "second attempt is faster",
+			plan: []attemptPlan{
+				lost,
+				{
+					after:  30 * time.Millisecond,
+					status: 200,
+				},
+			},
+			want:     "30ms",
+			status:   200,
+			took:     180 * time.Millisecond,
+			canceled: 1,
+		},
+		{
+			name: "first attempt is faster",
+			plan: []attemptPlan{
+				{
+					after:  slow,
+					status: 200,
+				},
+				lost,
+			},
+			want:     "400ms",
+			status:   200,
+			took:     slow,
+			canceled: 1,
+		},
+		{
+			name: "second attempt is refused",
+			plan: []attemptPlan{
+				{
+					after:  slow,
+					status: 200,
+				},
+				{
+					refusal: caller.ReasonHopeless,
+				},
+			},
+			want:   "400ms",
+			status: 200,
+			took:   slow,
+		},
+		{
+			name: "second attempt loses its session",
+			plan: []attemptPlan{
+				{
+					after:  slow,
+					status: 200,
+				},
+				{
+					after: 20 * time.Millisecond,
+				},
+			},
+			want:   "400ms",
+			status: 200,
+			took:   slow,
+		},
+		{
+			name: "first attempt loses its session",
+			plan: []attemptPlan{
+				{
+					after: slow,
+				},
+				{
+					after:  slow,
+					status: 200,
+				},
+			},
+			want:   "400ms",
+			status: 200,
+			took:   550 * time.Millisecond,
+		},
+		{
+			name: "first attempt fails at its backend server",
+			plan: []attemptPlan{
+				{
+					after:  slow,
+					status: 500,
+				},
+				{
+					after:  slow,
+					status: 200,
+				},
+			},
+			want:   "400ms",
+			status: 200,
+			took:   550 * time.Millisecond,
+		},
+		{
+			name: "both fail, one at its backend server",
+			plan: []attemptPlan{
+				{
+					after: slower,
+				},
+				{
+					after:  slow,
+					status: 500,
+				},
+			},
+			want:   "400ms",
+			status: 500,
+			took:   slower,
+		},
+		{
+			name: "both take too long",
+			plan: []attemptPlan{
+				lost,
+				lost,
+			},
+			took:     time.Second,
+			canceled: 2,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -160,9 +265,9 @@
 	})
 }
 
-// TestAttemptIsMadeOnceTheBudgetHasARepeat guards against a lost attempt that nobody repeats because
+// TestLostCallIsNotRepeatedLater guards against a lost attempt that nobody repeats because
 // the budget was empty at one moment.
-func TestAttemptIsMadeOnceTheBudgetHasARepeat(t *testing.T) {
+func TestLostCallIsNotRepeatedLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &plannedTargets{}
 		d := startPlan(t, p, attemptPlan{
--- a/internal/request/dispatcher/slow_test.go
+++ b/internal/request/dispatcher/slow_test.go
@@ -44,8 +44,15 @@
 		// slowOneIn is how many calls there are to a slow one.
 		slowOneIn int
 	}{
-		{"without repeats left in the budget", false, 2},
-		{"second attempts refused as hopeless", true, 50},
+		{
+			name:      "without repeats left in the budget",
+			slowOneIn: 2,
+		},
+		{
+			name:      "second attempts refused as hopeless",
+			refuse:    true,
+			slowOneIn: 50,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
