Log no refusal for a call that waits without an allowance

An overdue call without an allowance logged refuse with the outcome notRun after each delay, although it was running. Its finish line says noHedge=allowance instead.

--- a/internal/request/dispatcher/hedge.go
+++ b/internal/request/dispatcher/hedge.go
@@ -277,7 +277,8 @@
 		o.noAttempt(recorder.NoTimeLeft)
 		return false
 	}
-	if permitted, _ := o.spendRetry(caller.ReasonOverdue); !permitted {
+	if !o.pool.Spend() {
+		o.noAttempt(recorder.NoAllowanceLeft)
 		return false
 	}
 	if o.withdrawRepeat() {
