--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -85,29 +85,6 @@
 	return o.initPool(now)
 }
 
-// initPool sets the pool that retries draw on. Without MaxTargets, a charged or resent
-// call spends one attempt from it at once, and is refused if there is none.
-func (o *outboundCall) initPool(now time.Time) *caller.Answer {
-	resent := false
-	if o.call.MaxTargets > 0 {
-		o.pool = retrier.NewPool(maxRetriesWithMaxTargets)
-		return nil
-	}
-	if o.parent != nil {
-		o.pool = retrier.NewPool(o.parent.Pool.Grant())
-	} else {
-		o.pool, resent = o.d.poolCache.FindOrCreate(now, o.call.RequestID, o.settings.RetryAllowance)
-	}
-	if o.d.config.Switches.NoRetryAllowance {
-		o.pool = retrier.NewPool(maxAttempts)
-		return nil
-	}
-	if (o.call.Charged || resent) && !o.pool.Spend() {
-		return o.refuse(caller.NotRun, caller.ReasonAllowance)
-	}
-	return nil
-}
-
 // finish returns what is left of the call's pool to that of the parent call, and
 // records the result there: immediately if the answer has no body, otherwise when the
 // body is closed.
@@ -274,32 +251,6 @@
 	return answer
 }
 
-// lendAllowance takes all attempts in the pool but one, to send them along for the child
-// calls of this call. The last one allows a retry if the attempt is lost and the lent
-// allowance with it.
-func (o *outboundCall) lendAllowance() uint32 {
-	lent := uint32(0)
-	for o.pool.Remaining() > 1 && o.pool.Spend() {
-		lent++
-	}
-	return lent
-}
-
-// reclaimAllowance takes back the allowance that an attempt left unspent: immediately if
-// the answer has no body, otherwise when the body is closed.
-func (o *outboundCall) reclaimAllowance(answer *caller.Answer) {
-	if answer.Body == nil {
-		o.pool.Return(answer.UnspentAllowance())
-		return
-	}
-	answer.Body = &releasingBody{
-		ReadCloser: answer.Body,
-		release: func() {
-			o.pool.Return(answer.UnspentAllowance())
-		},
-	}
-}
-
 // answerForError returns the answer for an attempt that failed with a transport error.
 func (o *outboundCall) answerForError(ctx context.Context, call *caller.Call, target string, err error) *caller.Answer {
 	answer := caller.NewFailure(caller.Unknown, caller.ReasonConnectionLost)
