--- a/internal/connection/forwarder/timeleft_test.go
+++ b/internal/connection/forwarder/timeleft_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,14 +67,15 @@
 				})
 				defer f.Close()
 				deadline := time.Now().Add(3 * time.Second)
+				var calls sync.WaitGroup
 				for _, id := range []string{"first", "second"} {
-					go func() {
+					calls.Go(func() {
 						c := call(id)
 						c.Deadline = deadline
 						if _, err := do(t, f, c); err != nil {
 							t.Error(err)
 						}
-					}()
+					})
 				}
 				for range 2 {
 					got := <-arrivals
@@ -81,8 +83,7 @@
 						t.Errorf("request arrives with %s left by its header, want at most %s", got.timeout, want)
 					}
 				}
-				synctest.Wait()
-				time.Sleep(test.work)
+				calls.Wait()
 			})
 		})
 	}
