Add a review case: stored answers exceed the memory of a node

The answers to non-idempotent calls are kept with their bodies for 20 s, bounded by their number only. When one target is left of six, its node ends every 10 s.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -14,6 +14,7 @@
 // cases maps the name of a case to its function, which reports whether the rule was broken.
 var cases = map[string]func(*deployment) (broken bool, err error){
 	"memory": playSlowReaders,
+	"stored": playStoredAnswers,
 }
 
 func main() {
