Add a review case: a deregistration does not outlive the process

A node that has had no heartbeat yet acknowledges a deregistration without storing or announcing it. After a kill, a late heartbeat registers the leaving backend server again, and other nodes send it requests.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(*deployment) (broken bool, err error){
 	"memory": playSlowReaders,
 	"stored": playStoredAnswers,
+	"leave":  playLeave,
 }
 
 func main() {
