Add a review case: a restarted node forgets the rate limit of its server

Callers' nodes delete what they know of a limit when the restarted node refuses calls before the next heartbeat, so nobody can tell it the limit.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -16,6 +16,7 @@
 	"memory": playSlowReaders,
 	"stored": playStoredAnswers,
 	"leave":  playLeave,
+	"limit":  playLimit,
 }
 
 func main() {
