Add a review case: a client that leaves during an upload is not noticed

While the target reads slowly, nobody reads the client's connection, and the target works on until the deadline.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,6 +17,7 @@
 	"stored": playStoredAnswers,
 	"leave":  playLeave,
 	"limit":  playLimit,
+	"gone":   playGone,
 }
 
 func main() {
--- a/review/stand2/target.go
+++ b/review/stand2/target.go
@@ -40,6 +40,8 @@
 	state string
 	// silent is set while the target sends no heartbeats.
 	silent bool
+	// beaten is the time of the last heartbeat that was acknowledged.
+	beaten time.Time
 	runs   []run
 }
 
@@ -138,6 +140,11 @@
 		if !silent {
 			path, body := t.beat()
 			status, err := post(t.m.control, path, body)
+			if err == nil && status == http.StatusOK {
+				t.mu.Lock()
+				t.beaten = time.Now()
+				t.mu.Unlock()
+			}
 			t.m.d.logf("%s: heartbeat %s answered %d %v", t.m.name, body, status, err)
 		}
 		select {
@@ -148,6 +155,16 @@
 	}
 }
 
+// awaitBeat waits until the next heartbeat has been acknowledged.
+func (t *target) awaitBeat() {
+	from := time.Now()
+	await(2*heartbeatPeriod, func() bool {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return t.beaten.After(from)
+	})
+}
+
 // setSilent starts or ends the silence of the target.
 func (t *target) setSilent(silent bool) {
 	t.mu.Lock()
