--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,7 @@
 	echo "build with the deploy file and review/build-2.sh first" >&2
 	exit 2
 fi
-timeout -k 5 115 target/review2 memory review/7/record.txt
+timeout -k 5 115 target/review2 stored review/7/record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
