--- a/review/stand2/memory.go
+++ b/review/stand2/memory.go
@@ -26,7 +26,7 @@
 	uploadPeriod = time.Second / 60
 	// uploadBytes is the length of a body. The limit maxBodyBytes is 64 MiB.
 	uploadBytes = 384 << 10
-	// uploadDeadline is the longest deadline, that of water-book.
+	// uploadDeadline is shorter than the longest deadline, the 10 s of water-book.
 	uploadDeadline = 8 * time.Second
 	// A slow target reads readChunk bytes of a body in each readPeriod: a body in 7.7 s.
 	readChunk  = 5 << 10
--- a/review/stand2/stored.go
+++ b/review/stand2/stored.go
@@ -18,8 +18,8 @@
 	pullWork     = 170 * time.Millisecond
 	pullBytes    = 36_000
 	pullDeadline = 2 * time.Second
-	// pullers at each of two machines send about 312 requests a second together, which is the
-	// traffic of map-pull.
+	// pullers at each of two machines send about 312 requests a second together; the
+	// traffic of map-pull is 304.
 	pullers   = 40
 	pullPause = 85 * time.Millisecond
 )
