Bound in bytes what finished calls hold

Callers saw connections cut without an answer: the node beside the last backend server of a service exceeded 184 MB every 10 s and ended.

Cause: answers to calls that run at most once were kept until their tokens expired, 20 s later, bounded by number only. Longer ones kept references to their connection and call.

Change: the caller's node confirms an answer with one byte if it issued the token itself, and the target's node drops the content and keeps the token. Stored answers are bounded in bytes; tokens, answers, open calls and stalled request bodies take from the budget of the process.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -223,7 +223,7 @@
 	defer a.endCall()
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
-	weight := headWeight(head)
+	weight := callWeight(head)
 	if !a.admit(weight, head.GetResolveOnly()) {
 		if head.GetToken() == nil {
 			a.writeAnswer(stream, caller.NewFailure(caller.NotRun, caller.ReasonQueueFull))
@@ -232,61 +232,62 @@
 		// asks for its outcome.
 		return
 	}
-	defer a.release(weight)
+	defer a.config.Budget.Release(weight)
 	call := translator.Call(head, time.Now())
-	// The caller sends nothing after the request body and closes the stream to cancel
-	// the call. A read after the body therefore returns only when the call is canceled.
+	// After the request body, the caller sends at most the byte that confirms the answer, and
+	// closes the stream to cancel the call. A read after the body therefore returns only when the
+	// answer was received or the call is canceled.
+	received := &confirmation{}
 	body := &endWatcher{
 		Reader: encoder.NewBodyReader(reader),
 		onEnd: func() {
 			go func() {
-				reader.ReadByte()
+				if last, err := reader.ReadByte(); err == nil && last == encoder.AnswerReceived {
+					received.arrive()
+				}
 				cancel()
 				// An answer that nobody reads would hold a connection to the backend server.
 				stream.SetWriteDeadline(time.Now())
 			}()
 		},
 	}
+	transit := newTransit(body, a.config.Budget)
+	defer transit.end()
 	var err error
-	if call.Body, err = caller.NewBody(body); err != nil {
+	if call.Body, err = caller.NewSinglePassBody(transit); err != nil {
 		a.writeAnswer(stream, caller.NewFailure(caller.NotRun, caller.ReasonBodyBroken))
 		return
 	}
 	defer call.Body.Close()
 	answer := a.config.Executor.Execute(ctx, call)
 	defer answer.Close()
+	received.expect(answer.Received)
 	a.writeAnswer(stream, answer)
 }
 
-// headWeight returns the weight of a call in the budget.
-func headWeight(head *encoder.CallHead) int64 {
+// callWeight returns the weight of a call in the budget.
+func callWeight(head *encoder.CallHead) int64 {
 	size := len(head.GetPath())
 	for _, header := range head.GetHeaders() {
 		size += len(header.GetName()) + len(header.GetValue())
 	}
-	return weigher.Head(size, len(head.GetHeaders()))
+	return weigher.OpenCall(size, len(head.GetHeaders()))
 }
 
 // admit takes the weight of a call from the budget. A query for an outcome is always admitted,
 // because it ends at once.
 func (a *Acceptor) admit(weight int64, resolveOnly bool) bool {
-	if a.config.Budget == nil || a.config.Budget.Grow(0, weight) {
+	if a.config.Budget.GrowInbound(weight) {
 		return true
 	}
 	if !resolveOnly {
 		refusedCalls.Add(1)
 		return false
 	}
-	a.config.Budget.Release(-weight)
+	a.config.Budget.Charge(weight)
 	return true
 }
 
-func (a *Acceptor) release(weight int64) {
-	if a.config.Budget != nil {
-		a.config.Budget.Release(weight)
-	}
-}
-
 // endWatcher calls onEnd once, when its reader returns EOF or another error.
 type endWatcher struct {
 	io.Reader
--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -242,6 +242,7 @@
 		if err := sendBuffered(stream, head, call.Body); err != nil {
 			return nil, errors.Wrap(err, "send call")
 		}
+		sent <- nil
 	} else {
 		if err := encoder.WriteFrame(stream, head); err != nil {
 			return nil, errors.Wrap(err, "send call")
@@ -262,12 +263,29 @@
 		return answer, readFailureTrailer(answer, body)
 	}
 	answer.Body = io.NopCloser(body)
+	if call.Token != nil {
+		answer.Received = func() {
+			confirm(stream, sent)
+		}
+	}
 	answer.Unspent = func() uint32 {
 		return body.Trailer().GetUnspent()
 	}
 	return answer, nil
 }
 
+// confirm tells the target's node that the answer was received, with one byte after the request
+// body. It sends nothing if the body was not sent to its end.
+func confirm(stream *yamux.Stream, sent <-chan error) {
+	select {
+	case err := <-sent:
+		if err == nil {
+			stream.Write([]byte{encoder.AnswerReceived})
+		}
+	default:
+	}
+}
+
 // callBuffers holds the buffers of sendBuffered.
 var callBuffers = sync.Pool{
 	New: func() any {
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -192,6 +192,7 @@
 		Recorder:    n.recorder,
 		Inbound:     inbound,
 		Settings:    n.settings,
+		Budget:      n.budget,
 		NewSuccessor: func() *encoder.Token {
 			return n.dispatcher.NewToken(config.Service, config.ID)
 		},
--- a/internal/request/caller/body.go
+++ b/internal/request/caller/body.go
@@ -46,6 +46,8 @@
 	released bool
 	// charged is the part of kept that counts in totalReplayBytes.
 	charged int64
+	// singlePass means that one reader reads the body, once.
+	singlePass bool
 	// length is the number of bytes read from source.
 	length int64
 	// err is io.EOF at the end of source, or the error of reading it.
@@ -75,6 +77,16 @@
 	return body, nil
 }
 
+// NewSinglePassBody returns a Body for a call with one attempt. Nothing is kept of it but the
+// prefetched part, until that was read.
+func NewSinglePassBody(source io.Reader) (*Body, error) {
+	body, err := NewBody(source)
+	if err == nil {
+		body.singlePass = true
+	}
+	return body, err
+}
+
 // Close ends the use of the source. Reads that begin or end later return an error.
 func (b *Body) Close() {
 	if b == nil {
@@ -202,7 +214,7 @@
 	if b.released {
 		return
 	}
-	if b.length > maxReplayBytes {
+	if b.singlePass || b.length > maxReplayBytes {
 		b.releaseLocked()
 		return
 	}
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -83,7 +83,7 @@
 	ReasonLeastLoaded                      // no tier has spare capacity, so the least loaded candidate was chosen
 	ReasonTokenTarget                      // the token names the target
 	ReasonConnectionLost                   // the connection failed after the call may have been sent
-	ReasonBodyTooLarge                     // the request body exceeds its limit, or the answer body was too large to store
+	ReasonBodyTooLarge                     // the request body exceeds its limit, or the answer body is not stored
 	ReasonAdmitted                         // the call got a slot
 	ReasonQueued                           // the call waits in the queue; only tests use it
 	ReasonTooDeep                          // the call chain is longer than the maximum number of hops
@@ -376,6 +376,9 @@
 	// Body is nil if the call was refused or failed. It returns io.EOF only if it
 	// is complete.
 	Body io.ReadCloser
+	// Received tells the target's node that the only holder of the call's token has read the
+	// answer to its end, so that it need not be stored any longer. It may be nil.
+	Received func()
 	// Unspent returns the allowance that was not used. It is valid once the body
 	// has been read to its end.
 	Unspent func() uint32
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -24,6 +24,7 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"encoding/base64"
 	"time"
 
@@ -32,6 +33,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/weigher"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
 
@@ -42,6 +44,10 @@
 type Limits struct {
 	// MaxEntries is the maximum number of tokens stored at once.
 	MaxEntries int
+	// MaxAnswerBytes is the maximum memory of the stored answers.
+	MaxAnswerBytes int64
+	// Budget bounds the memory of the process that grows with its calls. It may be nil.
+	Budget *weigher.Budget
 	// MaxLifetime is the maximum remaining lifetime of an accepted token.
 	MaxLifetime time.Duration
 }
@@ -49,8 +55,9 @@
 // DefaultLimits returns the limits that a node uses.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxEntries:  200_000,
-		MaxLifetime: 2 * TokenLifetime,
+		MaxEntries:     50_000,
+		MaxAnswerBytes: 12 << 20,
+		MaxLifetime:    2 * TokenLifetime,
 	}
 }
 
@@ -75,7 +82,8 @@
 	// entry may have been removed already, or it is too far ahead. Whether the call
 	// ran is not known.
 	Expired
-	// TableFull means that the table already stores MaxEntries tokens.
+	// TableFull means that the table stores as many tokens as its limits allow. The call of
+	// this token has not run, but a later copy of it may.
 	TableFull
 )
 
@@ -95,13 +103,42 @@
 	BodyStored bool
 }
 
+// Weights in bytes of memory.
+const (
+	// entryWeight is what a token takes without an answer.
+	entryWeight = 512
+	// answerWeight is what an answer takes beside its body and headers.
+	answerWeight = 512
+	// headerWeight is what a header takes beside its name and value.
+	headerWeight = 64
+)
+
+// weight returns the memory that the answer takes. It is 0 for an answer that consists of an
+// outcome and a reason.
+func (s StoredAnswer) weight() int64 {
+	if !s.BodyStored && s.Answer.Detail == "" {
+		return 0
+	}
+	weight := answerWeight + len(s.Answer.Detail) + cap(s.Body)
+	for name, values := range s.Answer.Header {
+		for _, value := range values {
+			weight += headerWeight + len(name) + len(value)
+		}
+	}
+	return int64(weight)
+}
+
 // Entry is the state of one token and of the call bound to it.
 type Entry struct {
-	id        string
-	expires   time.Time
-	state     state
-	done      chan struct{}
-	answer    StoredAnswer
+	id      string
+	expires time.Time
+	state   state
+	done    chan struct{}
+	answer  StoredAnswer
+	// stored is the element of the answer in the table's list, and weight its weight there. It
+	// is nil if the answer takes no memory of its own.
+	stored    *list.Element
+	weight    int64
 	successor *encoder.Token
 	// overdue reports whether the token expired while the call was running. The entry
 	// is then not in the table's expiryHeap until the call ends.
@@ -138,6 +175,10 @@
 	limits      Limits
 	entries     map[string]*Entry
 	byExpiry    expiryHeap
+	// answers holds the entries whose answers take memory, oldest first, and answerBytes is
+	// their weight together.
+	answers     list.List
+	answerBytes int64
 	// latestRemovedExpiry is the latest expiry among the removed entries. A token
 	// that expires no later is rejected, because its entry may have been removed.
 	latestRemovedExpiry time.Time
@@ -165,7 +206,7 @@
 	if token.GetTarget() != t.target || token.GetIncarnation() != t.incarnation {
 		return nil, WrongIncarnation
 	}
-	t.removeExpired(now)
+	t.RemoveExpired(now)
 	if entry := t.entries[token.GetId()]; entry != nil {
 		return entry, entry.verdict()
 	}
@@ -173,7 +214,7 @@
 	if !expires.After(now) || !expires.After(t.latestRemovedExpiry) || expires.Sub(now) > t.limits.MaxLifetime {
 		return nil, Expired
 	}
-	if len(t.entries) >= t.limits.MaxEntries {
+	if len(t.entries) >= t.limits.MaxEntries || !t.limits.Budget.Grow(0, entryWeight) {
 		return nil, TableFull
 	}
 	entry := &Entry{
@@ -231,9 +272,57 @@
 		return
 	}
 	entry.answer = answer
+	t.storeAnswer(entry)
 	t.end(entry, finished)
 }
 
+// storeAnswer makes room for the answer of an entry by dropping older answers, because their
+// holders have most likely received them. It drops the answer itself if that is not enough.
+func (t *Table) storeAnswer(entry *Entry) {
+	entry.weight = entry.answer.weight()
+	if entry.weight == 0 {
+		return
+	}
+	for t.answerBytes+entry.weight > t.limits.MaxAnswerBytes || !t.limits.Budget.Grow(0, entry.weight) {
+		oldest := t.answers.Front()
+		if oldest == nil {
+			entry.answer = entry.answer.withoutContent()
+			return
+		}
+		t.DropAnswer(oldest.Value.(*Entry))
+	}
+	t.answerBytes += entry.weight
+	entry.stored = t.answers.PushBack(entry)
+}
+
+// withoutContent returns what is left of an answer when its content is dropped.
+func (s StoredAnswer) withoutContent() StoredAnswer {
+	return StoredAnswer{
+		Answer: caller.Answer{
+			Outcome: s.Answer.Outcome,
+			Reason:  s.Answer.Reason,
+		},
+	}
+}
+
+// DropAnswer drops the content of a stored answer, which no holder of the token needs any more.
+// The token stays: another copy of the call is still not run.
+func (t *Table) DropAnswer(entry *Entry) {
+	if entry.stored == nil {
+		return
+	}
+	t.answers.Remove(entry.stored)
+	t.answerBytes -= entry.weight
+	t.limits.Budget.Release(entry.weight)
+	entry.stored = nil
+	entry.answer = entry.answer.withoutContent()
+}
+
+// AnswerBytes returns the memory of the stored answers.
+func (t *Table) AnswerBytes() int64 {
+	return t.answerBytes
+}
+
 // end ends a running call.
 func (t *Table) end(entry *Entry, state state) {
 	entry.state = state
@@ -244,15 +333,17 @@
 	}
 }
 
-// removeExpired removes expired entries. An entry whose call is still running stays until
+// RemoveExpired removes expired entries. An entry whose call is still running stays until
 // the call has ended.
-func (t *Table) removeExpired(now time.Time) {
+func (t *Table) RemoveExpired(now time.Time) {
 	for len(t.byExpiry) > 0 && !t.byExpiry[0].expires.After(now) {
 		entry := heap.Pop(&t.byExpiry).(*Entry)
 		if entry.state == running {
 			entry.overdue = true
 			continue
 		}
+		t.DropAnswer(entry)
+		t.limits.Budget.Release(entryWeight)
 		delete(t.entries, entry.id)
 		if entry.expires.After(t.latestRemovedExpiry) {
 			t.latestRemovedExpiry = entry.expires
--- a/internal/request/dispatcher/attempts.go
+++ b/internal/request/dispatcher/attempts.go
@@ -121,6 +121,31 @@
 	return err
 }
 
+// receivedBody calls received when it is closed after it was read to its end.
+type receivedBody struct {
+	io.ReadCloser
+	received func()
+	complete bool
+}
+
+// Read implements io.Reader.
+func (b *receivedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.complete = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *receivedBody) Close() error {
+	if b.complete {
+		b.complete = false
+		b.received()
+	}
+	return b.ReadCloser.Close()
+}
+
 func (o *outboundCall) refuse(outcome caller.Outcome, reason caller.Reason) *caller.Answer {
 	o.d.record(o.call, recorder.Refuse, reason, outcome, "", 0)
 	answer := caller.NewFailure(outcome, reason)
@@ -137,6 +162,12 @@
 		cancel()
 		return answer
 	}
+	if o.tokenIssued && answer.Received != nil {
+		answer.Body = &receivedBody{
+			ReadCloser: answer.Body,
+			received:   answer.Received,
+		}
+	}
 	answer.Body = &releasingBody{
 		ReadCloser: answer.Body,
 		release:    cancel,
@@ -243,8 +274,8 @@
 	}
 	o.end.Cause, o.end.Detail = recorder.EndedByTarget, answer.Detail
 	o.reclaimAllowance(answer)
-	if answer.Reason == caller.ReasonIncarnation && o.hasExclusiveToken() {
-		// The only copy of the token reached an incarnation that never runs the call.
+	if (answer.Reason == caller.ReasonIncarnation || answer.Reason == caller.ReasonTokenTableFull) && o.hasExclusiveToken() {
+		// The only copy of the token reached an incarnation that did not run the call.
 		answer.Outcome = caller.NotRun
 	}
 	o.d.record(call, recorder.Answer, answer.Reason, answer.Outcome, id, answer.PathThreshold)
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -27,6 +27,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/request/recorder"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/surveyor"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/tracker"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/weigher"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
 )
@@ -65,6 +66,8 @@
 	// OnNotice is called when the backend server says something new of itself. It may be
 	// nil.
 	OnNotice func(NoticeChange)
+	// Budget bounds the memory of the process that grows with its calls. It may be nil.
+	Budget   *weigher.Budget
 	Switches admitter.Switches
 }
 
@@ -124,9 +127,11 @@
 
 // New returns an Executor.
 func New(config Config) *Executor {
+	limits := deduplicator.DefaultLimits()
+	limits.Budget = config.Budget
 	e := &Executor{
 		config:      config,
-		tokens:      deduplicator.New(config.ID, config.Incarnation, deduplicator.DefaultLimits()),
+		tokens:      deduplicator.New(config.ID, config.Incarnation, limits),
 		minRunTimes: make(map[string]minRunTime),
 		slots:       config.Slots,
 		classifier:  classifier.NewTable(),
@@ -168,6 +173,7 @@
 func (e *Executor) Load() caller.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.tokens.RemoveExpired(time.Now())
 	load := e.admitter.Load()
 	load.Leaving = e.leaving
 	load.RateLimit = e.rate.perSecond
--- a/internal/request/executor/token.go
+++ b/internal/request/executor/token.go
@@ -33,7 +33,9 @@
 	if entry.Verdict() == deduplicator.Refused {
 		return e.refuseNotRun(call, entry, caller.ReasonTombstone)
 	}
+	e.mu.Lock()
 	stored := entry.StoredAnswer()
+	e.mu.Unlock()
 	if stored.Answer.Outcome != caller.Answered {
 		return e.fail(call, stored.Answer.Outcome, stored.Answer.Reason)
 	}
@@ -44,6 +46,7 @@
 	answer := stored.Answer
 	answer.Header = answer.Header.Clone()
 	answer.Body = io.NopCloser(bytes.NewReader(stored.Body))
+	answer.Received = e.dropAnswer(entry)
 	return &answer
 }
 
@@ -104,8 +107,12 @@
 func (e *Executor) storeAnswerWithBody(entry *deduplicator.Entry, answer *caller.Answer) *caller.Answer {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxStoredBodyBytes+1))
 	if err == nil && len(body) > maxStoredBodyBytes {
+		// The stored outcome must not refer to the answer, which holds the connection to the
+		// backend server and the call.
 		e.storeAnswer(entry, deduplicator.StoredAnswer{
-			Answer: *answer,
+			Answer: caller.Answer{
+				Outcome: caller.Answered,
+			},
 		})
 		answer.Body = &prefixedBody{
 			Reader: io.MultiReader(bytes.NewReader(body), answer.Body),
@@ -134,5 +141,15 @@
 		BodyStored: true,
 	})
 	answer.Body = io.NopCloser(bytes.NewReader(body))
+	answer.Received = e.dropAnswer(entry)
 	return answer
 }
+
+// dropAnswer returns a function that drops the stored answer of a call.
+func (e *Executor) dropAnswer(entry *deduplicator.Entry) func() {
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.tokens.DropAnswer(entry)
+	}
+}
--- a/internal/request/weigher/weigher.go
+++ b/internal/request/weigher/weigher.go
@@ -7,6 +7,10 @@
 // leave a part of the budget to light ones, so that ordinary requests are served meanwhile. A
 // heavy request is served when it comes alone.
 //
+// The budget also bounds what else grows with the calls of a process: the calls that other nodes
+// have open there, request bodies that the backend server reads slowly, tokens of calls that run
+// at most once, and their answers. A nil budget has no bound.
+//
 // # Usage
 //
 //	budget := weigher.NewBudget(weigher.DefaultBudget)
@@ -15,7 +19,10 @@
 //	defer budget.Release(weight)
 package weigher
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Weights in bytes of live memory.
 const (
@@ -26,6 +33,12 @@
 	// copies. 600 heads of 2,900 lines took 726 MB of resident memory, half of which is the
 	// room that the garbage collector leaves.
 	lineWeight = 256
+	// openCallWeight is what an open call of another node takes beside its head: its stream,
+	// goroutines and buffers.
+	openCallWeight = 8 << 10
+	// StalledBodyWeight is what a request body takes that arrives faster than it is read: the
+	// window of its stream, with the room of a growing buffer, and its prefetched part.
+	StalledBodyWeight = 448 << 10
 	// lightWeight is the largest weight of a light request. Ordinary requests have a weight of
 	// 4 to 10 KB.
 	lightWeight = 32 << 10
@@ -34,6 +47,9 @@
 	budgetParts = 4
 )
 
+// StallTime is how long a request body is not read before it counts as stalled.
+const StallTime = 100 * time.Millisecond
+
 // DefaultBudget is the budget of a process on a machine of 184 MB. Live memory takes about twice
 // as much resident memory, because of the garbage collector.
 const DefaultBudget = 48 << 20
@@ -43,6 +59,11 @@
 	return byteWeight*int64(bytes) + lineWeight*int64(lines)
 }
 
+// OpenCall returns the weight of a call of another node with the given head.
+func OpenCall(bytes, lines int) int64 {
+	return openCallWeight + Head(bytes, lines)
+}
+
 // Budget is the memory that is left for requests. Its methods are safe for concurrent use.
 type Budget struct {
 	total int64
@@ -59,20 +80,47 @@
 // Grow changes the weight of a request from an earlier value, which is 0 for a new request. It
 // reports false, and changes nothing, if the request does not fit.
 func (b *Budget) Grow(from, to int64) bool {
+	if b == nil {
+		return true
+	}
 	limit := b.total
 	if to > lightWeight {
-		limit = b.total / budgetParts * heavyParts
+		limit = b.heavyLimit()
 	}
-	if b.used.Add(to-from) > limit {
-		b.used.Add(from - to)
-		return false
+	return b.add(to-from, limit)
+}
+
+// GrowInbound takes the weight of a call of another node. Such calls leave a part of the budget to
+// the requests of the node's own callers.
+func (b *Budget) GrowInbound(weight int64) bool {
+	return b == nil || b.add(weight, b.heavyLimit())
+}
+
+// Charge takes a weight that can't be refused, because the memory is in use already.
+func (b *Budget) Charge(weight int64) {
+	if b != nil {
+		b.used.Add(weight)
 	}
-	return true
 }
 
 // Release returns the weight of a request that has ended.
 func (b *Budget) Release(weight int64) {
-	b.used.Add(-weight)
+	if b != nil {
+		b.used.Add(-weight)
+	}
+}
+
+func (b *Budget) heavyLimit() int64 {
+	return b.total / budgetParts * heavyParts
+}
+
+// add takes weight from the budget if no more than limit is then used.
+func (b *Budget) add(weight, limit int64) bool {
+	if b.used.Add(weight) > limit {
+		b.used.Add(-weight)
+		return false
+	}
+	return true
 }
 
 // Used returns the weight of all requests.
--- a/internal/wire/encoder/encoder.go
+++ b/internal/wire/encoder/encoder.go
@@ -4,7 +4,7 @@
 // A frame is a big-endian uint32 length followed by that many bytes of one
 // message. A body is a sequence of chunks, each a non-zero uint32 length and
 // its bytes. It ends with a zero length and a Trailer frame with the body's size
-// and checksum.
+// and checksum. After the body of a request, the byte AnswerReceived may follow.
 //
 // # Usage
 //
@@ -31,6 +31,10 @@
 // ErrFrameTooLarge reports a frame that is larger than MaxFrameBytes.
 var ErrFrameTooLarge = errors.New("frame exceeds the limit of 8 MiB; if it was received, the peer may have sent data that is not a frame")
 
+// AnswerReceived is the byte that a caller's node may send after the request body, once it has read
+// the answer to its end and no other node holds the token of the call.
+const AnswerReceived = 1
+
 const lengthBytes = 4
 
 // WriteFrame writes message as one frame, with a single call of Write.
