Store and tell that a start left before its first heartbeat

Callers were sent to a backend server that had deregistered: the node acknowledged the deregistration before the first heartbeat, was killed, and a late heartbeat put the server in use again.

Cause: a start that is not registered was neither stored nor told to members, because only the start in force was. The deregistration was acknowledged all the same.

Change: the enroller stores every start that an acknowledgement says has left, one after the other, in four records of a node instead of one. An unknown start that deregisters is put in force as one that left, unless another may still run.

--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -18,6 +18,8 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,11 +35,14 @@
 // announcements of the members.
 const MembersTable = "laburnumshelf-members"
 
-// leavingSuffix follows the ID of a node in the key of MembersTable under which the node
-// stores the last backend server that left it. Each node has one such record, which the next
-// one replaces.
+// leavingSuffix follows the ID of a node in the keys of MembersTable under which the node
+// stores the last backend servers that left it.
 const leavingSuffix = "/leaving"
 
+// leavingRecords is the number of records of backend servers that left a node. The next one
+// replaces the oldest.
+const leavingRecords = 4
+
 // Announcement parameters.
 const (
 	// contactPeriod is the mean time between two reads of MembersTable while no
@@ -84,6 +89,8 @@
 	// packets and bytes count what was sent.
 	packets int64
 	bytes   int64
+	// leavings is the number of backend servers that RecordLeaving has stored.
+	leavings int
 }
 
 // New returns an Announcer that knows only its own node and the contacts.
@@ -325,7 +332,8 @@
 	return a.config.Store.Put(ctx, MembersTable, a.config.Self.GetId(), payload)
 }
 
-// RecordLeaving stores that the backend server leaves, for the next process of this node.
+// RecordLeaving stores that the backend server leaves, for the next process of this node. One
+// goroutine at a time may call it.
 func (a *Announcer) RecordLeaving(ctx context.Context, backend *encoder.Backend) error {
 	if a.config.Store == nil {
 		return nil
@@ -340,11 +348,29 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the leaving backend server")
 	}
-	return a.config.Store.Put(ctx, MembersTable, self.GetId()+leavingSuffix, payload)
+	a.mu.Lock()
+	record := a.leavings % leavingRecords
+	a.mu.Unlock()
+	if err := a.config.Store.Put(ctx, MembersTable, leavingKey(self.GetId(), record), payload); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leavings++
+	return nil
+}
+
+// leavingKey returns the key of a record of a backend server that left a node.
+func leavingKey(id string, record int) string {
+	key := id + leavingSuffix
+	if record > 0 {
+		key += "/" + strconv.Itoa(record)
+	}
+	return key
 }
 
 // readContacts adds the peer addresses of all announcements in the store as contacts. It also
-// reports the backend server that left while an earlier process of this node ran.
+// reports the backend servers that left while an earlier process of this node ran.
 func (a *Announcer) readContacts(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -366,7 +392,7 @@
 		a.mu.Lock()
 		a.table.AddContacts(address)
 		a.mu.Unlock()
-		if entry.Key == a.config.Self.GetId()+leavingSuffix {
+		if strings.HasPrefix(entry.Key, a.config.Self.GetId()+leavingSuffix) {
 			a.reportFormerBackends(member.GetBackend())
 		}
 	}
--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -51,8 +51,8 @@
 	// OnChange is called with each registration whose ID, start time, state, Leaving or
 	// slots changed. The call returns before the heartbeat is acknowledged.
 	OnChange func(registrar.Registration)
-	// RecordLeaving stores outside this process that the registered start takes no new work,
-	// so that MarkLeaving can tell the next process. It is called before a heartbeat or
+	// RecordLeaving stores outside this process that a start takes no new work, so that
+	// MarkLeaving can tell the next process. It is called before a heartbeat or
 	// deregistration is acknowledged, and again after it has failed. It may be nil.
 	RecordLeaving func(context.Context, registrar.Registration) error
 	Log           *logrus.Logger
@@ -68,8 +68,7 @@
 	registrar *registrar.Registrar
 	// reported is the registration at the last check for changes.
 	reported registrar.Registration
-	// recorded is the last registration that RecordLeaving has stored.
-	recorded registrar.Registration
+	leavings *leavings
 }
 
 // New returns an Enroller without a registration.
@@ -81,6 +80,7 @@
 			Address:  config.Address,
 			Interval: config.Interval,
 		}),
+		leavings: newLeavings(),
 	}
 }
 
@@ -164,6 +164,13 @@
 	}
 	e.mu.Lock()
 	e.registrar.Deregister(id, born)
+	if !born.IsZero() {
+		e.leavings.add(registrar.Registration{
+			ID:      id,
+			Born:    born,
+			Leaving: true,
+		})
+	}
 	e.reportChange("deregistration")
 	e.mu.Unlock()
 	e.recordLeaving(r.Context())
@@ -188,24 +195,17 @@
 	e.reportChange("earlier process")
 }
 
-// recordLeaving calls RecordLeaving if the registered start leaves and that is not stored
-// yet. An acknowledgement must not wait for a store that is away, so the call has a timeout.
+// recordLeaving calls RecordLeaving for each start that leaves and is not stored yet. An
+// acknowledgement must not wait for a store that is away, so the calls have a timeout together.
 func (e *Enroller) recordLeaving(ctx context.Context) {
-	e.mu.Lock()
-	current, recorded := e.reported, e.recorded
-	e.mu.Unlock()
-	if e.config.RecordLeaving == nil || !current.Leaving || sameStart(current, recorded) {
+	if e.config.RecordLeaving == nil || e.leavings.empty() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	if err := e.config.RecordLeaving(ctx, current); err != nil {
-		e.config.Log.WithError(err).WithField("backend", current.ID).Warn("cannot store that the backend server leaves; trying again")
-		return
+	if err := e.leavings.store(ctx, e.config.RecordLeaving); err != nil {
+		e.config.Log.WithError(err).Warn("cannot store that the backend server leaves; trying again")
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.recorded = current
 }
 
 func sameStart(a, b registrar.Registration) bool {
@@ -223,6 +223,9 @@
 	current := e.registrar.Current(time.Now())
 	reported := e.reported
 	e.reported = current
+	if current.Leaving {
+		e.leavings.add(current)
+	}
 	if sameStart(current, reported) && current.State == reported.State && current.Leaving == reported.Leaving && current.Slots == reported.Slots {
 		return
 	}
--- a/internal/process/enroller/enroller_test.go
+++ b/internal/process/enroller/enroller_test.go
@@ -131,3 +131,84 @@
 		}
 	})
 }
+
+// TestAcknowledgedDeregistrationOfUnknownStartIsLost guards against a deregistration that is
+// acknowledged before the first heartbeat of its start and forgotten by the next process, or that
+// members do not learn of.
+func TestAcknowledgedDeregistrationOfUnknownStartIsLost(t *testing.T) {
+	born := time.Unix(9, 0)
+	for name, known := range map[string]bool{"first message": false, "next start of a known server": true} {
+		var stored, announced []registrar.Registration
+		ready := func() registrar.State { return registrar.Ready }
+		change := func(config *Config) {
+			config.OnChange = func(registration registrar.Registration) {
+				announced = append(announced, registration)
+			}
+			config.RecordLeaving = func(_ context.Context, registration registrar.Registration) error {
+				stored = append(stored, registration)
+				return nil
+			}
+			config.Protocol.DecodeDeregistration = func(string, []byte) (string, time.Time, error) {
+				return "a", born, nil
+			}
+		}
+		e := newEnroller(ready, change)
+		if known {
+			e.registrar.Heartbeat(time.Now(), registrar.Heartbeat{
+				ID:       "a",
+				Address:  e.config.Address,
+				Service:  e.config.Service,
+				State:    registrar.Ready,
+				Born:     born.Add(-time.Minute),
+				Sequence: 1,
+			})
+		}
+		post(e, "/gone/a")
+		if len(stored) != 1 || stored[0].ID != "a" || !stored[0].Born.Equal(born) {
+			t.Errorf("%s: got %v stored at the acknowledgement, want the start", name, stored)
+		}
+		if n := len(announced); n == 0 || !announced[n-1].Leaving || announced[n-1].State == registrar.Ready {
+			t.Errorf("%s: got %v announced, want that the start leaves", name, announced)
+		}
+		post(e, "/beat/a")
+		next := newEnroller(ready, change)
+		for _, start := range stored {
+			next.MarkLeaving(start.ID, start.Born)
+		}
+		post(next, "/beat/a")
+		for process, enroller := range map[string]*Enroller{"same": e, "next": next} {
+			if got := enroller.registrar.Current(time.Now()).State; got == registrar.Ready {
+				t.Errorf("%s: %s process after a late heartbeat: got ready, want gone or draining", name, process)
+			}
+		}
+	}
+}
+
+// TestOnlyLatestLeavingIsStored guards against a second server that leaves and hides the first, while
+// the store is away.
+func TestOnlyLatestLeavingIsStored(t *testing.T) {
+	stored := make(map[string]bool)
+	away := true
+	id := "a"
+	ready := func() registrar.State { return registrar.Ready }
+	e := newEnroller(ready, func(config *Config) {
+		config.RecordLeaving = func(_ context.Context, registration registrar.Registration) error {
+			if away {
+				return context.DeadlineExceeded
+			}
+			stored[registration.ID] = true
+			return nil
+		}
+		config.Protocol.DecodeDeregistration = func(string, []byte) (string, time.Time, error) {
+			return id, time.Unix(9, 0), nil
+		}
+	})
+	post(e, "/gone/a")
+	id = "b"
+	post(e, "/gone/b")
+	away = false
+	e.recordLeaving(t.Context())
+	if !stored["a"] || !stored["b"] {
+		t.Errorf("got %v stored, want a and b", stored)
+	}
+}
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -62,8 +62,7 @@
 	Taken Verdict = iota
 	// Late means that the message does not apply to the registration in force, which
 	// stays as it is. A heartbeat is late if it is not newer than what is known or
-	// reverts draining to ready. A deregistration is late if it names an earlier start
-	// or another backend server.
+	// reverts draining to ready. A deregistration is late if another start stays in force.
 	Late
 	// Foreign means that the heartbeat has another service or address than the
 	// local backend server.
@@ -233,6 +232,9 @@
 // Deregister records that a start of a backend server has ended, so that its
 // later heartbeats are rejected. If born is zero, Deregister uses the start time of the
 // registered backend server, if that has the ID.
+//
+// The start may not be registered, because this process or the start itself is new. It is then in
+// force as one that left, unless another start that may still run is in force.
 func (r *Registrar) Deregister(id string, born time.Time) Verdict {
 	if born.IsZero() && id == r.current.ID {
 		born = r.current.Born
@@ -240,10 +242,21 @@
 	if known, ok := r.deregistered[id]; !ok || known.Before(born) {
 		r.deregistered[id] = born
 	}
-	if id != r.current.ID || born.Before(r.current.Born) {
+	if born.IsZero() {
 		return Late
 	}
-	r.MarkLeaving(id, r.current.Born)
-	r.current.State = Gone
+	r.MarkLeaving(id, born)
+	if id == r.current.ID && born.Equal(r.current.Born) {
+		r.current.State = Gone
+		return Taken
+	}
+	if !born.After(r.current.Born) || id != r.current.ID && r.current.State != Gone {
+		return Late
+	}
+	r.current = Registration{
+		ID:      id,
+		Born:    born,
+		Leaving: true,
+	}
 	return Taken
 }
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -221,3 +221,38 @@
 		t.Errorf("got %s, want draining", got.State)
 	}
 }
+
+// TestUnknownStartThatDeregisteredIsTaken guards against a start that is put in force by a late
+// heartbeat after it deregistered as an unknown one, and against a next start that is not taken.
+func TestUnknownStartThatDeregisteredIsTaken(t *testing.T) {
+	for name, prepare := range map[string]func(*Registrar){
+		"no registration": func(*Registrar) {},
+		"earlier start": func(r *Registrar) {
+			r.Heartbeat(start, heartbeat("a", -time.Minute, 9, Ready))
+		},
+		"other server, silent": func(r *Registrar) {
+			r.Heartbeat(start.Add(-time.Hour), heartbeat("b", -time.Hour, 9, Ready))
+			r.Current(start)
+		},
+	} {
+		r := newRegistrar()
+		prepare(r)
+		if got := r.Deregister("a", start); got != Taken {
+			t.Errorf("%s: got verdict %s, want taken", name, got)
+		}
+		if got := r.Heartbeat(start, heartbeat("a", 0, 10, Ready)); got != Late {
+			t.Errorf("%s: late heartbeat: got verdict %s, want late", name, got)
+		}
+		if got := r.Current(start); got.ID != "a" || got.State != Gone || !got.Leaving {
+			t.Errorf("%s: got %s %s, leaving %t, want a gone, leaving", name, got.ID, got.State, got.Leaving)
+		}
+		if got := r.Heartbeat(start, heartbeat("a", time.Second, 1, Ready)); got != Taken {
+			t.Errorf("%s: next start: got verdict %s, want taken", name, got)
+		}
+	}
+	r := newRegistrar()
+	r.Heartbeat(start, heartbeat("b", 0, 1, Ready))
+	if got := r.Deregister("a", start.Add(time.Second)); got != Late || r.Current(start).State != Ready {
+		t.Errorf("beside a server in force: got verdict %s, want late", got)
+	}
+}
