Tell an unknown rate limit from none

A backend server that had named a limit of 3 requests a second got as many at once as it has slots, after its node was killed and started again.

Cause: the restarted node refuses calls until the next heartbeat, and its load reports named no limit because it knew none. The callers' nodes took that for the end of the limit and forgot it, so that no call told the new process.

Change: load reports say whether the limit is known (rate_limit_known).

The router's test fails on the code before with 0, want 7.

--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -285,6 +285,9 @@
 	// RateLimit is the number of calls per second that the backend server takes from all
 	// nodes together, or 0 if it names no limit.
 	RateLimit float64
+	// RateLimitKnown reports whether the target's node knows that the backend server names
+	// no other limit. A node that has restarted does not know.
+	RateLimitKnown bool
 	// BackendLeaving reports that the backend server said in an answer that it leaves.
 	// Leaving is about the node as well.
 	BackendLeaving bool
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -177,6 +177,7 @@
 	load := e.admitter.Load()
 	load.Leaving = e.leaving
 	load.RateLimit = e.rate.perSecond
+	load.RateLimitKnown = e.rate.answered || e.rate.perSecond > 0
 	load.BackendLeaving = e.backendLeaving
 	load.Pressure = load.Utilization()
 	load.Work, load.Slowdown = e.account.Report(time.Now())
--- a/internal/request/executor/notice_test.go
+++ b/internal/request/executor/notice_test.go
@@ -313,3 +313,20 @@
 		}
 	})
 }
+
+// TestNewNodeKnowsNoRateLimit guards against a node that reports that there is no rate limit although
+// the backend server has not answered it yet.
+func TestNewNodeKnowsNoRateLimit(t *testing.T) {
+	e := newExecutor(&backend{})
+	if e.Load().RateLimitKnown {
+		t.Error("before an answer: got a known rate limit, want an unknown one")
+	}
+	execute(e, "c", time.Second)
+	if !e.Load().RateLimitKnown {
+		t.Error("after an answer without a limit: got an unknown rate limit, want a known one")
+	}
+	e.SetBackend("i-2", time.Unix(9, 0), 10)
+	if e.Load().RateLimitKnown {
+		t.Error("next start: got a known rate limit, want an unknown one")
+	}
+}
--- a/internal/request/router/backend.go
+++ b/internal/request/router/backend.go
@@ -28,8 +28,10 @@
 // backendNotice is what one start of a backend server said of itself. It stays when the node
 // beside the backend server restarts.
 type backendNotice struct {
-	observed  time.Time
-	rateLimit float64
+	observed time.Time
+	// rateLimit is the rate limit that was known at limitObserved.
+	rateLimit     float64
+	limitObserved time.Time
 	// leaving never ends: a server that takes calls again has another start.
 	leaving bool
 }
@@ -41,16 +43,19 @@
 	}
 }
 
-// recordNotice stores what a load report of the target says of its backend server.
+// recordNotice stores what a load report of the target says of its backend server. A report of a
+// node that does not know the rate limit does not end the one that is known here.
 func (r *Router) recordNotice(now time.Time, target *Target) {
 	key := keyOf(target.Member)
 	if key.id == "" {
 		return
 	}
-	notice := backendNotice{
-		observed:  now,
-		rateLimit: target.lastLoad.RateLimit,
-		leaving:   target.lastLoad.BackendLeaving || r.notices[key].leaving,
+	load := target.lastLoad
+	notice := r.notices[key]
+	notice.observed = now
+	notice.leaving = notice.leaving || load.BackendLeaving
+	if load.RateLimitKnown || load.RateLimit > 0 {
+		notice.rateLimit, notice.limitObserved = load.RateLimit, now
 	}
 	if notice.rateLimit == 0 && !notice.leaving {
 		delete(r.notices, key)
@@ -99,7 +104,7 @@
 // if none is known.
 func (r *Router) RateLimit(now time.Time, target *Target) float64 {
 	notice := r.notices[keyOf(target.Member)]
-	if now.Sub(notice.observed) > maxRateLimitAge {
+	if now.Sub(notice.limitObserved) > maxRateLimitAge {
 		return 0
 	}
 	return notice.rateLimit
--- a/internal/request/router/backend_test.go
+++ b/internal/request/router/backend_test.go
@@ -116,3 +116,38 @@
 		t.Error("the newest notice is gone")
 	}
 }
+
+// TestReportOfRestartedNodeEndsTheRateLimit guards against a rate limit that is forgotten because
+// the restarted node beside the backend server refuses a call before it has learned the limit.
+func TestReportOfRestartedNodeEndsTheRateLimit(t *testing.T) {
+	now := start.Add(time.Minute)
+	r := newRouter(sameZonePlace)
+	id := memberAt(0, sameZonePlace).GetId()
+	r.Update(now, withBackend("i-1", 1000, 5))
+	recordLoad(r, now, id, caller.Load{Limit: 10, RateLimit: 7})
+	r.Update(now, withBackend("i-1", 1000, 6))
+	for range 3 {
+		now = now.Add(time.Second)
+		recordLoad(r, now, id, caller.Load{Limit: 10})
+		if got := r.RateLimit(now, r.Target(id)); got != 7 {
+			t.Fatalf("after a report that knows no limit: got %v, want 7", got)
+		}
+	}
+	now = now.Add(maxRateLimitAge)
+	if got := r.RateLimit(now, r.Target(id)); got != 0 {
+		t.Errorf("after maxRateLimitAge without a report that knows the limit: got %v, want none", got)
+	}
+}
+
+// TestEndedRateLimitStays guards against a rate limit that outlives the answer that ends it.
+func TestEndedRateLimitStays(t *testing.T) {
+	now := start.Add(time.Minute)
+	r := newRouter(sameZonePlace)
+	id := memberAt(0, sameZonePlace).GetId()
+	r.Update(now, withBackend("i-1", 1000, 5))
+	recordLoad(r, now, id, caller.Load{Limit: 10, RateLimit: 7})
+	recordLoad(r, now, id, caller.Load{Limit: 10, RateLimitKnown: true})
+	if got := r.RateLimit(now, r.Target(id)); got != 0 {
+		t.Errorf("got rate limit %v after the target's node knew that there is none, want none", got)
+	}
+}
