Refuse heads that are no answer in HTTP/1

Clients got answers with the status 000, and answers whose head had a name with a blank, two of them with the marks of chunks in the body.

Cause: the parser of the standard library accepts them. It keeps a name with a blank, so that a length or a transfer encoding after it does not count, and ignores a transfer encoding before HTTP/1.1.

Change: the bytes of a head are checked while they are read: names, status, version and transfer encoding. Answers of other nodes, which may be older, are checked for their status and names.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -20,6 +20,7 @@
 	"io"
 	"maps"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -27,6 +28,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/laburnumshelf/laburnumshelf/internal/connection/translator"
 	"github.com/laburnumshelf/laburnumshelf/internal/request/caller"
@@ -262,6 +264,9 @@
 	if answer.Outcome != caller.Answered {
 		return answer, readFailureTrailer(answer, body)
 	}
+	if err := checkHead(answer); err != nil {
+		return nil, err
+	}
 	answer.Body = io.NopCloser(body)
 	if call.Token != nil {
 		answer.Received = func() {
@@ -274,6 +279,20 @@
 	return answer, nil
 }
 
+// checkHead returns an error if an answer can't be one of a backend server. Nodes of older versions
+// pass such answers on.
+func checkHead(answer *caller.Answer) error {
+	if answer.Status < http.StatusOK || answer.Status > 599 {
+		return errors.Newf("answer has status %03d, want 200 to 599", answer.Status)
+	}
+	for name := range answer.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("answer has the header %q, which is no name", name)
+		}
+	}
+	return nil
+}
+
 // confirm tells the target's node that the answer was received, with one byte after the request
 // body. It sends nothing if the body was not sent to its end.
 func confirm(stream *yamux.Stream, sent <-chan error) {
--- a/internal/connection/forwarder/conn.go
+++ b/internal/connection/forwarder/conn.go
@@ -108,12 +108,15 @@
 // answers (1xx) and answers to other requests.
 func (c *conn) receive(req *http.Request, check func(*http.Response) error) (*http.Response, error) {
 	for range maxSkippedAnswers + 1 {
-		c.head.startHead()
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		c.head.startHead(buffered)
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		c.head.endHead()
+		if err := c.head.endHead(resp); err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
--- a/internal/connection/forwarder/forwarder_test.go
+++ b/internal/connection/forwarder/forwarder_test.go
@@ -158,14 +158,25 @@
 // After a faulty answer the call may have run, so the error must not be ErrNotSent.
 func TestFaultyAnswersAreErrors(t *testing.T) {
 	for name, raw := range map[string]string{
-		"no HTTP":           "garbage garbage\r\n\r\n",
-		"other ID, closed":  strings.Replace(answer("2", "other"), "Proof", "Connection: close\r\nProof", 1),
-		"no ID":             "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx",
-		"cut off":           answer("1", "whole")[:len(answer("1", "whole"))-2],
-		"cut off in header": answer("1", "whole")[:20],
-		"no proof":          "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nx",
-		"encoded":           "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
-		"broken chunk":      "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"no HTTP":                "garbage garbage\r\n\r\n",
+		"other ID, closed":       strings.Replace(answer("2", "other"), "Proof", "Connection: close\r\nProof", 1),
+		"no ID":                  "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx",
+		"cut off":                answer("1", "whole")[:len(answer("1", "whole"))-2],
+		"cut off in header":      answer("1", "whole")[:20],
+		"no proof":               "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nx",
+		"encoded":                "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
+		"status 000":             strings.Replace(answer("1", "x"), "200 OK", "000 Zero", 1),
+		"status 099":             strings.Replace(answer("1", "x"), "200 OK", "099 Low", 1),
+		"status 600":             strings.Replace(answer("1", "x"), "200 OK", "600 High", 1),
+		"switched protocols":     strings.Replace(answer("1", "x"), "200 OK", "101 Switch", 1) + answer("1", "x"),
+		"HTTP/9.9":               strings.Replace(answer("1", "x"), "HTTP/1.1", "HTTP/9.9", 1),
+		"blank in a name":        strings.Replace(answer("1", "x"), "Proof", "Na me: x\r\nProof", 1),
+		"control byte in a name": strings.Replace(answer("1", "x"), "Proof", "Na\x01me: x\r\nProof", 1),
+		"length after a blank":   "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nContent-Length : 2\r\n\r\nabcd",
+		"chunks after a blank":   "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nTransfer-Encoding : chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0":     "HTTP/1.0 200 OK\r\nId: 1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"blank after interim":    "HTTP/1.1 100 Continue\r\n\r\n" + strings.Replace(answer("1", "x"), "Proof", "Na me: x\r\nProof", 1),
+		"broken chunk":           "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := serve(t, func(c net.Conn, r *bufio.Reader) {
--- a/internal/connection/forwarder/headreader.go
+++ b/internal/connection/forwarder/headreader.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 )
@@ -38,18 +39,23 @@
 	inHead    bool
 	remaining int
 	lines     int
+	checker   headChecker
 }
 
-// startHead limits the next reads to the head of one answer.
-func (h *headReader) startHead() {
+// startHead limits the next reads to the head of one answer, of which the reader's owner has
+// buffered a part.
+func (h *headReader) startHead(buffered []byte) {
 	h.inHead = true
 	h.remaining = maxHeadBytes
 	h.lines = 0
+	h.checker.reset()
+	h.checker.write(buffered)
 }
 
-// endHead removes the limits.
-func (h *headReader) endHead() {
+// endHead removes the limits. It returns an error if the head is none of an answer in HTTP/1.
+func (h *headReader) endHead(resp *http.Response) error {
 	h.inHead = false
+	return h.checker.check(resp)
 }
 
 // Read implements io.Reader.
@@ -68,6 +74,7 @@
 	// A read may go beyond the head. That does no harm, because the head is then complete
 	// and no limit applies to the next read.
 	h.lines += bytes.Count(p[:n], newline)
+	h.checker.write(p[:n])
 	return n, err
 }
 
