Take no broken connection for the end of an answer

A backend server answers a long upload at once, without a length, sends a part and resets the connection: the client got the part as a whole answer.

Cause: the system reports a reset once. The write of the upload took the report, and the read saw an ordinary end of the connection.

Change: the end of the connection ends a body only if the request was sent whole; the read waits for that at most until the end of the call. Names in trailers are checked. On the same path: a Connection header that lists the signature no longer removes it, and answers to HEAD keep their length.

--- a/internal/connection/forwarder/conn.go
+++ b/internal/connection/forwarder/conn.go
@@ -54,13 +54,13 @@
 // close the body of the answer, which returns the connection to the pool or closes it.
 func (c *conn) exchange(ctx context.Context, req *http.Request, check func(*http.Response) error) (*http.Response, error) {
 	watcher := newCancelWatcher(ctx, c.Conn, c.pool.config.CancelGrace)
-	sent := make(chan error, 1)
+	sent := newSending()
 	if req.Body == nil || (req.ContentLength >= 0 && req.ContentLength <= maxSyncBodyBytes) {
-		sent <- c.send(req)
+		sent.end(c.send(req))
 	} else {
 		// The answer may arrive before a long body is sent.
 		go func() {
-			sent <- c.send(req)
+			sent.end(c.send(req))
 		}()
 	}
 	resp, err := c.receive(req, check)
@@ -71,6 +71,8 @@
 	}
 	resp.Body = &body{
 		ReadCloser:  resp.Body,
+		ctx:         ctx,
+		response:    resp,
 		conn:        c,
 		watcher:     watcher,
 		readToEnd:   resp.Body == http.NoBody || resp.ContentLength == 0,
@@ -83,15 +85,49 @@
 
 // preferSendError returns the error of sending the request if there is one, because it
 // caused err, the error of reading the answer. Otherwise it returns err.
-func preferSendError(err error, sent <-chan error) error {
+func preferSendError(err error, sent *sending) error {
+	if ended, sendErr := sent.result(); ended && sendErr != nil {
+		return sendErr
+	}
+	return err
+}
+
+// sending is the sending of a request, which may go on while the answer is read.
+type sending struct {
+	// ended is closed at the end. Then err is set.
+	ended chan struct{}
+	err   error
+}
+
+func newSending() *sending {
+	return &sending{
+		ended: make(chan struct{}),
+	}
+}
+
+func (s *sending) end(err error) {
+	s.err = err
+	close(s.ended)
+}
+
+// result reports whether the sending has ended, and with which error.
+func (s *sending) result() (ended bool, err error) {
 	select {
-	case sendErr := <-sent:
-		if sendErr != nil {
-			return sendErr
-		}
+	case <-s.ended:
+		return true, s.err
 	default:
+		return false, nil
+	}
+}
+
+// wait waits for the end of the sending or of ctx, and returns its error.
+func (s *sending) wait(ctx context.Context) error {
+	select {
+	case <-s.ended:
+		return s.err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return err
 }
 
 func (c *conn) send(req *http.Request) error {
@@ -157,9 +193,11 @@
 // closes the connection.
 type body struct {
 	io.ReadCloser
+	ctx         context.Context
+	response    *http.Response
 	conn        *conn
 	watcher     *cancelWatcher
-	sent        <-chan error
+	sent        *sending
 	reusable    bool
 	idleTimeout time.Duration
 	once        sync.Once
@@ -169,10 +207,33 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.readToEnd = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := b.checkEnd(); err != nil {
+		return n, err
+	}
+	b.readToEnd = true
+	return n, io.EOF
+}
+
+// checkEnd returns an error if the end of the body does not show that it is complete.
+//
+// The system reports a reset of a connection only once. If sending the request has got that report,
+// or may get it yet, the end of the connection is no end of the body.
+func (b *body) checkEnd() error {
+	if err := checkTrailer(b.response.Trailer); err != nil {
+		return err
+	}
+	if isDelimited(b.response) || b.ReadCloser == http.NoBody {
+		return nil
 	}
-	return n, err
+	return errors.Wrap(b.sent.wait(b.ctx), "the connection ended during the request, so the end of the answer is not known")
+}
+
+// isDelimited reports whether the end of the body is known without the end of the connection.
+func isDelimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // Close implements io.Closer.
@@ -186,13 +247,8 @@
 // closes the connection.
 func (b *body) finish() {
 	open := b.watcher.stop()
-	requestSent := false
-	select {
-	case err := <-b.sent:
-		requestSent = err == nil
-	default:
-	}
-	if !open || !b.readToEnd || !b.reusable || !requestSent || b.conn.reader.Buffered() > 0 {
+	sent, err := b.sent.result()
+	if !open || !b.readToEnd || !b.reusable || !sent || err != nil || b.conn.reader.Buffered() > 0 {
 		b.conn.discard()
 		return
 	}
--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -202,8 +202,10 @@
 		answer.Notice = readNotice(resp.Header)
 	}
 	if f.isRefusal(resp) {
-		// If the body was read to its end, closing it returns the connection to the pool.
-		skipBody(resp.Body)
+		if isDelimited(resp) {
+			// If the body was read to its end, closing it returns the connection to the pool.
+			skipBody(resp.Body)
+		}
 		resp.Body.Close()
 		answer.Body = nil
 		answer.Outcome = caller.NotRun
@@ -213,8 +215,9 @@
 		}
 		return answer, nil
 	}
-	labeler.RemoveHopByHop(answer.Header)
+	// A Connection header may list any header, but not remove those that are meant for this node.
 	f.extractNodeHeaders(answer)
+	labeler.RemoveHopByHop(answer.Header)
 	if err := f.bufferBody(answer, resp); err != nil {
 		return nil, errors.Wrap(err, "read answer of backend server")
 	}
@@ -239,6 +242,10 @@
 // bufferBody reads the body of an answer completely if it has at most
 // MaxBufferedBytes bytes.
 func (f *Forwarder) bufferBody(answer *caller.Answer, resp *http.Response) error {
+	if resp.Request.Method == http.MethodHead {
+		// The length is that of the answer to a GET.
+		return nil
+	}
 	if f.config.MaxBufferedBytes == 0 || resp.ContentLength > f.config.MaxBufferedBytes {
 		return nil
 	}
--- a/internal/connection/forwarder/forwarder_test.go
+++ b/internal/connection/forwarder/forwarder_test.go
@@ -176,6 +176,7 @@
 		"chunks after a blank":   "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nTransfer-Encoding : chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
 		"chunks in HTTP/1.0":     "HTTP/1.0 200 OK\r\nId: 1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
 		"blank after interim":    "HTTP/1.1 100 Continue\r\n\r\n" + strings.Replace(answer("1", "x"), "Proof", "Na me: x\r\nProof", 1),
+		"blank in a trailer":     "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nNa me: x\r\n\r\n",
 		"broken chunk":           "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/connection/forwarder/headchecker.go
+++ b/internal/connection/forwarder/headchecker.go
@@ -84,3 +84,13 @@
 	}
 	return nil
 }
+
+// checkTrailer returns an error if a name in a trailer is no name of a header.
+func checkTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("%q is not the name of a trailer", name)
+		}
+	}
+	return nil
+}
