Size the budget of requests by the memory of the process

Change: the setting memoryMb, a flag and an environment variable name the memory. The budget is a part of it, and the garbage collector runs more often from three quarters of it on.

--- a/internal/cli/commander/cmd_node.go
+++ b/internal/cli/commander/cmd_node.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/process/configurer"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/logwriter"
 	"github.com/laburnumshelf/laburnumshelf/internal/process/runner"
+	"github.com/laburnumshelf/laburnumshelf/internal/request/weigher"
 )
 
 var nodeCommand = command{
@@ -40,6 +42,7 @@
 	LogURL         string   `long:"log" value-name:"URL" description:"Override logUrl"`
 	Contacts       []string `long:"contact" value-name:"IP:PORT" description:"Add a first contact; may be repeated"`
 	LogLevel       string   `long:"log-level" choice:"error" choice:"warning" choice:"info" choice:"debug" description:"Override logLevel"`
+	Memory         string   `long:"memory" value-name:"MB" env:"LABURNUMSHELF_MEMORY_MB" description:"Override memoryMb"`
 }
 
 // Execute implements flags.Commander.
@@ -56,6 +59,7 @@
 	writer := logwriter.New(n.env.stdout)
 	defer writer.Close()
 	log := newLogger(writer, config.LogLevel)
+	debug.SetMemoryLimit(weigher.GarbageCollectorLimit(config.MemoryMB))
 	node, err := runner.New(config, log)
 	if err != nil {
 		return err
@@ -179,6 +183,11 @@
 	if n.LogLevel != "" {
 		config.LogLevel = n.LogLevel
 	}
+	if n.Memory != "" {
+		if err := config.SetMemory(n.Memory); err != nil {
+			return configurer.Config{}, errors.Wrap(err, "flag --memory or variable LABURNUMSHELF_MEMORY_MB")
+		}
+	}
 	return config, nil
 }
 
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -8,8 +8,11 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/parser"
 )
@@ -22,6 +25,9 @@
 	defaultConnections       = 256
 	maxSlots                 = 100_000
 	maxDecisionsKept         = 10_000_000
+	defaultMemoryMB          = 184
+	minMemoryMB              = 64
+	maxMemoryMB              = 1 << 20
 	minStopTimeout           = time.Second
 	maxStopTimeout           = 24 * time.Hour
 	minHeartbeatInterval     = 10 * time.Millisecond
@@ -66,6 +72,8 @@
 	LogLevel    string
 	// DecisionsKept is the number of latest decisions that the node keeps for queries.
 	DecisionsKept int
+	// MemoryMB is the memory that the process may take, in units of 1,000,000 bytes.
+	MemoryMB int
 }
 
 // Platform holds the process settings that only the users' platform needs.
@@ -87,7 +95,7 @@
 		return Config{}, findings
 	}
 	object := root.Object("id", "region", "zone", "service", "callAddress", "adminAddress", "peerAddress",
-		"backendAddress", "slots", "connections", "callConnections", "logUrl", "contacts", "stopTimeout", "logLevel", "decisionsKept", "platform")
+		"backendAddress", "slots", "connections", "callConnections", "logUrl", "contacts", "stopTimeout", "logLevel", "decisionsKept", "memoryMb", "platform")
 	object.Require("id", "region", "zone", "service", "callAddress", "adminAddress", "peerAddress", "backendAddress")
 	config := Config{
 		ID:              object.String("id", ""),
@@ -104,6 +112,7 @@
 		StopTimeout:     object.Duration("stopTimeout", minStopTimeout, maxStopTimeout, defaultStopTimeout),
 		LogLevel:        object.OneOf("logLevel", "info", "error", "warning", "info", "debug"),
 		DecisionsKept:   int(object.Int("decisionsKept", 0, maxDecisionsKept, defaultDecisionsKept)),
+		MemoryMB:        int(object.Int("memoryMb", minMemoryMB, maxMemoryMB, defaultMemoryMB)),
 	}
 	for _, contact := range object.Elements("contacts") {
 		config.Contacts = append(config.Contacts, contact.Address())
@@ -141,3 +150,13 @@
 	}
 	return name
 }
+
+// SetMemory sets MemoryMB from text, which must be a whole number in the range of the setting.
+func (c *Config) SetMemory(text string) error {
+	megabytes, err := strconv.Atoi(text)
+	if err != nil || megabytes < minMemoryMB || megabytes > maxMemoryMB {
+		return errors.Newf("got %q, want a whole number of megabytes from %d to %d", text, minMemoryMB, maxMemoryMB)
+	}
+	c.MemoryMB = megabytes
+	return nil
+}
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -124,7 +124,7 @@
 		tally:         tallier.New(),
 		verifier:      verifier.New(time.Now()),
 		shares:        newShares(descriptorLimit(), config.CallConnections),
-		budget:        weigher.NewBudget(weigher.DefaultBudget),
+		budget:        weigher.NewBudget(weigher.BudgetOf(config.MemoryMB)),
 		self: &encoder.Member{
 			Id:          config.ID,
 			Incarnation: uint64(time.Now().UnixNano()),
--- a/internal/request/weigher/weigher.go
+++ b/internal/request/weigher/weigher.go
@@ -54,6 +54,31 @@
 // as much resident memory, because of the garbage collector.
 const DefaultBudget = 48 << 20
 
+// Memory of a process.
+const (
+	megabyte = 1_000_000
+	// defaultMemoryMB is the memory that DefaultBudget is meant for.
+	defaultMemoryMB = 184
+	// collectedParts of memoryParts is the part of the memory from which on the garbage
+	// collector runs more often. The rest is for what it does not count.
+	collectedParts = 3
+	memoryParts    = 4
+)
+
+// BudgetOf returns the budget of a process that may take the given memory. 0 means the default.
+func BudgetOf(megabytes int) int64 {
+	if megabytes == 0 {
+		megabytes = defaultMemoryMB
+	}
+	return DefaultBudget * int64(megabytes) / defaultMemoryMB
+}
+
+// GarbageCollectorLimit returns the memory, in bytes, that the garbage collector keeps a process
+// under that may take the given memory, as far as its live memory allows.
+func GarbageCollectorLimit(megabytes int) int64 {
+	return int64(megabytes) * megabyte / memoryParts * collectedParts
+}
+
 // Head returns the weight of a head.
 func Head(bytes, lines int) int64 {
 	return byteWeight*int64(bytes) + lineWeight*int64(lines)
