Report changes of members in their order

Four tests failed now and then with "timed out after 20s waiting for readiness of all nodes". In a log of one, the member table held both servers, and the dispatcher one: announcements were handed over after the lock was released, so the older of two could come last and stay until the member changed again.

Change: changes are queued under the lock, and one goroutine at a time reports them. It holds no lock meanwhile, because a report may lead to the next change.

That the four failures came from this is likely, not shown.

--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -89,6 +89,10 @@
 	// packets and bytes count what was sent.
 	packets int64
 	bytes   int64
+	// changes holds the members that changed and are not reported yet. reporting is set while a
+	// goroutine reports them.
+	changes   []*encoder.Member
+	reporting bool
 	// leavings is the number of backend servers that RecordLeaving has stored.
 	leavings int
 }
@@ -218,16 +222,36 @@
 func (a *Announcer) applyEvent(event func(*gossiper.Table) []gossiper.Outgoing) {
 	a.mu.Lock()
 	out := event(a.table)
-	changes := a.table.TakeChanges()
+	a.changes = append(a.changes, a.table.TakeChanges()...)
 	former := a.table.TakeFormerBackends()
 	a.mu.Unlock()
-	for _, member := range changes {
-		a.config.OnChange(member)
-	}
+	a.reportChanges()
 	a.reportFormerBackends(former...)
 	a.send(out)
 }
 
+// reportChanges reports the changed members in the order of their changes. The older of two
+// announcements of a member would stay if it came last. If another goroutine is reporting, that one
+// reports these changes too.
+func (a *Announcer) reportChanges() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reporting {
+		return
+	}
+	a.reporting = true
+	for len(a.changes) > 0 {
+		changes := a.changes
+		a.changes = nil
+		a.mu.Unlock()
+		for _, member := range changes {
+			a.config.OnChange(member)
+		}
+		a.mu.Lock()
+	}
+	a.reporting = false
+}
+
 func (a *Announcer) reportFormerBackends(backends ...*encoder.Backend) {
 	if a.config.OnFormerBackend == nil {
 		return
