Read what has arrived on a stream also after its deadline

When the data of an answer and the end of the call come together, yamux's Read may report the deadline although the data is there, and the answer is lost (TestArrivedAnswerIsNotThrownAway failed now and then beside load).

Change: a Read that reports the deadline is repeated once; the second one returns what is buffered.

The cause was found by reading.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -253,7 +253,7 @@
 			sent <- sendBody(stream, call.Body)
 		}()
 	}
-	reader := encoder.NewStreamReader(stream)
+	reader := encoder.NewStreamReader(arrivedReader{stream})
 	answerHead := &encoder.AnswerHead{}
 	err := encoder.ReadFrame(reader, answerHead)
 	if err != nil {
@@ -279,6 +279,21 @@
 	return answer, nil
 }
 
+// arrivedReader reads what has arrived on a stream also after its deadline. When data and the
+// deadline come together, the first Read may report either.
+type arrivedReader struct {
+	stream *yamux.Stream
+}
+
+// Read implements io.Reader.
+func (a arrivedReader) Read(p []byte) (int, error) {
+	n, err := a.stream.Read(p)
+	if errors.Is(err, yamux.ErrTimeout) {
+		return a.stream.Read(p)
+	}
+	return n, err
+}
+
 // checkHead returns an error if an answer can't be one of a backend server. Nodes of older versions
 // pass such answers on.
 func checkHead(answer *caller.Answer) error {
