Join positions in the store's tables with its era

When the store comes back from an older copy, it gives offsets out again. A node that continued at its offset missed the changes before it in silence, if the store had grown past it, or read again and again after it had not.

A position of another era is worth nothing: the newest settings are read. A version in force is never replaced by an older one. The stand-in of the store learns the drill: a copy, the return, the era, 410 beyond the end.

--- a/internal/replay/logserver/handler.go
+++ b/internal/replay/logserver/handler.go
@@ -21,17 +21,31 @@
 const maxBodyBytes = 2 << 20
 
 // Handler returns a handler that serves the store with the platform's protocol. A PUT
-// to /faults sets the faults.
+// to /faults sets the faults, one to /copy keeps a copy of the store, and one to /drill brings the
+// store back from that copy.
 func (s *Store) Handler() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
+	e.Use(s.nameEra)
 	e.POST(platform.AppendPath, s.handleAppend)
 	e.GET(platform.ReadPath, s.handleRead)
 	e.GET(platform.NewestPath, s.handleNewest)
 	e.PUT("/faults", s.handleFaults)
+	e.PUT("/copy", s.handleCopy)
+	e.PUT("/drill", s.handleDrill)
 	return e
 }
 
+// nameEra sets the header that names the era of the store when the answer is written.
+func (s *Store) nameEra(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			c.Response().Header().Set(platform.HeaderEra, strconv.FormatInt(s.Era(), 10))
+		})
+		return next(c)
+	}
+}
+
 func (s *Store) handleAppend(c echo.Context) error {
 	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBodyBytes+1))
 	if err != nil {
--- a/internal/replay/logserver/logserver.go
+++ b/internal/replay/logserver/logserver.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,8 +43,12 @@
 	retention Retention
 	faults    Faults
 	topics    map[string]*topic
-	appends   int64
-	reads     int64
+	// era rises by one with each Restore.
+	era     int64
+	appends int64
+	reads   int64
+	// kept is the copy for the next drill.
+	kept atomic.Pointer[Copy]
 }
 
 // topic holds the records of a stream, or of a table and its changes.
--- a/internal/replay/logserver/table.go
+++ b/internal/replay/logserver/table.go
@@ -60,7 +60,7 @@
 	s.reads++
 	st := s.findOrCreateTopic(platform.KeyedPrefix + table)
 	entries := logclient.EntryBatch{
-		Next: st.earliest + int64(len(st.records)),
+		Next: logclient.Position(s.era, st.earliest+int64(len(st.records))),
 	}
 	for _, key := range slices.Sorted(maps.Keys(st.newest)) {
 		entries.Entries = append(entries.Entries, logclient.Entry{
@@ -74,12 +74,16 @@
 
 // Changes implements logclient.Tables.
 func (s *Store) Changes(ctx context.Context, table string, from int64, wait time.Duration) (logclient.EntryBatch, error) {
-	batch, err := s.readOrWait(ctx, platform.KeyedPrefix+table, from, wait)
+	era, offset := logclient.SplitPosition(from)
+	batch, err := s.readOrWait(ctx, platform.KeyedPrefix+table, offset, wait)
 	if err != nil {
 		return logclient.EntryBatch{}, err
 	}
+	if era != s.Era() {
+		return logclient.EntryBatch{}, logclient.ErrCompacted
+	}
 	entries := logclient.EntryBatch{
-		Next: from + int64(len(batch.Records)),
+		Next: logclient.Position(era, offset+int64(len(batch.Records))),
 	}
 	for _, record := range batch.Records {
 		key, value, err := platform.DecodeEntry(record.Payload)
@@ -89,15 +93,15 @@
 		entries.Entries = append(entries.Entries, logclient.Entry{
 			Key:   key,
 			Value: value,
-			Next:  record.Offset + 1,
+			Next:  logclient.Position(era, record.Offset+1),
 		})
 	}
 	return entries, nil
 }
 
 // readOrWait returns the records from an offset on. If there are none, it waits up to
-// wait for one. If the offset is no longer retained, it returns ErrCompacted and a
-// batch with the earliest retained offset.
+// wait for one. If the offset is no longer retained, or beyond the end, it returns ErrCompacted and
+// a batch with the earliest retained offset.
 func (s *Store) readOrWait(ctx context.Context, name string, from int64, wait time.Duration) (logclient.Batch, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
@@ -109,7 +113,7 @@
 		if err != nil {
 			return logclient.Batch{}, err
 		}
-		if from < batch.Earliest {
+		if from < batch.Earliest || from > batch.Next {
 			return batch, logclient.ErrCompacted
 		}
 		if len(batch.Records) > 0 || wait == 0 {
--- a/internal/version/follower/follower.go
+++ b/internal/version/follower/follower.go
@@ -99,7 +99,7 @@
 
 // ApplyDocument applies a document that its source has already accepted as the
 // given version. It has no effect if the version is not newer than the one in
-// force. position is the offset after the document's record.
+// force. position is the one after the document's record.
 func (f *Follower) ApplyDocument(version int64, path checker.Path, content []byte, position int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/version/follower/state.go
+++ b/internal/version/follower/state.go
@@ -10,6 +10,7 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/version/checker"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/describer"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
+	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 )
 
 // maxVerdicts is the number of recent verdicts that a State retains, so that
@@ -151,22 +152,26 @@
 }
 
 // Position returns the highest position in the operator's table of all documents, or 0 if
-// none comes from there.
+// none comes from there. Documents of nodes that know no eras count as those of era 0.
 func (s State) Position() int64 {
 	highest := int64(0)
 	for _, document := range s.documents {
-		highest = max(highest, document.GetPosition())
+		if document.GetPosition() > 0 {
+			era := max(int64(document.GetStoreEra())-1, 0)
+			highest = max(highest, logclient.Position(era, document.GetPosition()))
+		}
 	}
 	return highest
 }
 
 // ApplyDocument returns the state after a document that its source has already
-// accepted as the given version. position is the offset after its record. If the version
+// accepted as the given version. position is the one after its record. If the version
 // is not newer than s.Version, it returns s.
 func (s State) ApplyDocument(version int64, path checker.Path, content []byte, position int64) (State, error) {
 	if version <= s.Version {
 		return s, nil
 	}
+	era, offset := logclient.SplitPosition(position)
 	return s.Restore(&encoder.Snapshot{
 		Covers: version,
 		Base:   s.Version,
@@ -174,7 +179,8 @@
 			Path:     path.String(),
 			Version:  version,
 			Content:  content,
-			Position: position,
+			Position: offset,
+			StoreEra: uint64(era) + 1,
 		}},
 	})
 }
--- a/internal/version/watcher/watcher.go
+++ b/internal/version/watcher/watcher.go
@@ -112,6 +112,12 @@
 	// positionKnown reports whether next is a valid position to read from. If it
 	// is not, the next read gets the newest documents.
 	positionKnown bool
+	// invalid is the highest position that the source did not have, because it retains no such
+	// changes or is of another era. Other nodes may still tell of it.
+	invalid int64
+	// rejections is the number of reads in a row that found their position invalid, with no
+	// other reads between than those of the newest documents.
+	rejections uint
 	// failures is the number of consecutive failed reads.
 	failures uint
 	// reason is the last result of ReadReason.
@@ -138,6 +144,9 @@
 			continue
 		}
 		w.handleSuccess()
+		if w.positionKnown {
+			w.rejections = 0
+		}
 		waited := w.positionKnown && update.Next == w.next
 		w.next = update.Next
 		w.positionKnown = true
@@ -186,7 +195,7 @@
 	if w.config.Position == nil {
 		return
 	}
-	if position := w.config.Position(); position > w.next {
+	if position := w.config.Position(); position > max(w.next, w.invalid) {
 		w.next = position
 		w.positionKnown = true
 	}
@@ -236,12 +245,21 @@
 
 // handleFailure records a failed read and waits for an exponential backoff with
 // jitter. The next read continues at the same position, unless the answer could not be
-// decoded: then it gets the newest documents. If the read failed only because the source no
-// longer retains the changes from w.next on, the next read does so at once.
+// decoded: then it gets the newest documents. If the read failed only because the source does not
+// have the changes from w.next on, the next read does so at once.
 func (w *Watcher) handleFailure(ctx context.Context, err error) {
 	if errors.Is(err, logclient.ErrCompacted) {
 		w.positionKnown = false
-		w.config.Log.WithField("from", w.next).Info("store no longer retains the changes from this position on; reading the newest settings")
+		w.invalid = max(w.invalid, w.next)
+		era, offset := logclient.SplitPosition(w.next)
+		w.config.Log.WithFields(logrus.Fields{
+			"era":  era,
+			"from": offset,
+		}).Info("store does not have the changes from this position on; reading the newest settings")
+		if w.rejections > 0 {
+			w.backOff(ctx, w.rejections)
+		}
+		w.rejections++
 		return
 	}
 	if w.failures == 0 && ctx.Err() == nil {
@@ -251,8 +269,13 @@
 	if !errors.IsAny(err, logclient.ErrUnavailable, context.DeadlineExceeded, context.Canceled) {
 		w.positionKnown = false
 	}
-	backoff := min(retryBase<<min(w.failures, 8), retryLimit)
+	w.backOff(ctx, w.failures)
 	w.failures++
+}
+
+// backOff waits longer the more failures there were in a row, with jitter.
+func (w *Watcher) backOff(ctx context.Context, failures uint) {
+	backoff := min(retryBase<<min(failures, 8), retryLimit)
 	select {
 	case <-ctx.Done():
 	case <-time.After(backoff/2 + rand.N(backoff)):
--- a/internal/wire/logclient/logclient.go
+++ b/internal/wire/logclient/logclient.go
@@ -52,9 +52,9 @@
 	Put(ctx context.Context, table, key string, value []byte) error
 	// Newest returns the newest value of each key.
 	Newest(ctx context.Context, table string) (EntryBatch, error)
-	// Changes returns the values set at offset from or later. If there are none, it
+	// Changes returns the values set at position from or later. If there are none, it
 	// waits up to wait for one. The error is marked ErrCompacted if changes at from
-	// are no longer retained.
+	// are no longer retained, or if from is of another era than the store.
 	Changes(ctx context.Context, table string, from int64, wait time.Duration) (EntryBatch, error)
 }
 
@@ -83,14 +83,14 @@
 type Entry struct {
 	Key   string
 	Value []byte
-	// Next is an offset after the entry's record. Later values of the key are at this
-	// offset or after it.
+	// Next is a position after the entry's record. Later values of the key are at this
+	// position or after it.
 	Next int64
 }
 
 // EntryBatch is the result of a read of a table.
 type EntryBatch struct {
 	Entries []Entry
-	// Next is the offset at which the following changes start.
+	// Next is the position at which the following changes start.
 	Next int64
 }
