Write a node's records again after the store has lost them

After a drill, the announcements of nodes and the records of backend servers that left were gone from the store for good, and with the latter what had been acknowledged.

Change: nodes learn of a new era from the store's answers and from the packets of other members, and write their records again: those of servers that left within a second, announcements within a second or a hundredth of a second for each member, if that is longer (restorer). One line a node tells of the change and one of the records; status shows the era.

--- a/internal/process/administrator/administrator.go
+++ b/internal/process/administrator/administrator.go
@@ -37,10 +37,14 @@
 	Service         string `json:"service"`
 	State           string `json:"state"`
 	SettingsVersion int64  `json:"settingsVersion"`
-	InFlight        int    `json:"inFlight"`
-	Limit           int    `json:"limit"`
-	Queued          int    `json:"queued"`
-	Threshold       int    `json:"threshold"`
+	// StoreEra is the highest known era of the store, or -1. StoreRestored reports whether the
+	// records that this node keeps in the store are there, as far as the node knows.
+	StoreEra      int64 `json:"storeEra"`
+	StoreRestored bool  `json:"storeRestored"`
+	InFlight      int   `json:"inFlight"`
+	Limit         int   `json:"limit"`
+	Queued        int   `json:"queued"`
+	Threshold     int   `json:"threshold"`
 	// OpenCalls is the number of calls to the local backend server that are not fully
 	// answered.
 	OpenCalls int `json:"open"`
--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -76,7 +76,13 @@
 	OnFormerBackend func(backend *encoder.Backend)
 	// OnQuota is called for each packet about quotas that arrives. It may be nil.
 	OnQuota func(packet *encoder.Packet)
-	Rand    *rand.Rand
+	// StoreEra returns the era of Store, and whether it is known. OnEra is called when the store
+	// has another one than before, and OnRestored when the records of this node are in the store
+	// again. Each may be nil.
+	StoreEra   func() (era int64, known bool)
+	OnEra      func(change EraChange)
+	OnRestored func(restoration Restoration)
+	Rand       *rand.Rand
 }
 
 // Announcer keeps one node in the membership and knows the other members. Its
@@ -93,8 +99,19 @@
 	// goroutine reports them.
 	changes   []*encoder.Member
 	reporting bool
-	// leavings is the number of backend servers that RecordLeaving has stored.
-	leavings int
+	// recorded is the number of backend servers that RecordLeaving has stored. leavings holds
+	// the records of this node's backend servers that left, by their keys in the store.
+	recorded int
+	leavings map[string][]byte
+	// era is the highest known era of the store, or unknownEra. restoring is set while records
+	// of this node may be missing in the store.
+	era       int64
+	restoring bool
+
+	// eraChanged gets a value when records must be written again.
+	eraChanged chan struct{}
+	// storing has an element while a record of a backend server that left is written.
+	storing chan struct{}
 }
 
 // New returns an Announcer that knows only its own node and the contacts.
@@ -105,8 +122,12 @@
 	})
 	table.AddContacts(config.Contacts...)
 	return &Announcer{
-		config: config,
-		table:  table,
+		config:     config,
+		table:      table,
+		leavings:   make(map[string][]byte),
+		era:        unknownEra,
+		eraChanged: make(chan struct{}, 1),
+		storing:    make(chan struct{}, 1),
 	}
 }
 
@@ -202,6 +223,7 @@
 // Run sends and receives packets until ctx is done.
 func (a *Announcer) Run(ctx context.Context) error {
 	go a.contactLoop(ctx)
+	go a.restoreLoop(ctx)
 	go a.receiveLoop(ctx)
 	ticker := time.NewTicker(gossiper.TickInterval)
 	defer ticker.Stop()
@@ -264,7 +286,11 @@
 // send sends packets and counts them.
 func (a *Announcer) send(out []gossiper.Outgoing) {
 	packets, bytes := int64(0), int64(0)
+	era, _ := a.Era()
 	for _, o := range out {
+		if !isAboutQuotas(o.Packet) {
+			o.Packet.StoreEra = uint64(era + 1)
+		}
 		payload, err := proto.Marshal(o.Packet)
 		if err != nil {
 			continue
@@ -302,12 +328,13 @@
 // handlePacket passes a packet to the table, unless it only confirms a settings version or is
 // about quotas.
 func (a *Announcer) handlePacket(packet *encoder.Packet) {
-	if kind := packet.GetKind(); kind == encoder.PacketKind_QUOTA_REPORT || kind == encoder.PacketKind_QUOTA_GRANT {
+	if isAboutQuotas(packet) {
 		if a.config.OnQuota != nil {
 			a.config.OnQuota(packet)
 		}
 		return
 	}
+	a.observePeerEra(packet)
 	version := int64(packet.GetSettingsVersion())
 	if packet.GetKind() != encoder.PacketKind_CONFIRM {
 		a.applyEvent(func(table *gossiper.Table) []gossiper.Outgoing {
@@ -321,6 +348,11 @@
 	}
 }
 
+func isAboutQuotas(packet *encoder.Packet) bool {
+	kind := packet.GetKind()
+	return kind == encoder.PacketKind_QUOTA_REPORT || kind == encoder.PacketKind_QUOTA_GRANT
+}
+
 // contactLoop writes the node's announcement to the store once and then reads the
 // announcements of the others. A read counts only after the node's own
 // announcement is written, so of any two nodes the later reader sees the other.
@@ -332,19 +364,24 @@
 	}
 	announced, read := false, false
 	for {
-		announced = announced || a.announce(ctx) == nil
+		if !announced && a.announce(ctx) == nil {
+			announced = true
+			a.adoptEra()
+		}
 		if !read || len(a.Members()) < 2 {
 			read = a.readContacts(ctx) == nil && announced
 		}
-		pause := contactPeriod/2 + rand.N(contactPeriod)
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, contactPause()) {
 			return
-		case <-time.After(pause):
 		}
 	}
 }
 
+// contactPause returns the time between two calls to the store that must be repeated.
+func contactPause() time.Duration {
+	return contactPeriod/2 + rand.N(contactPeriod)
+}
+
 // announce writes the node's announcement to the store.
 func (a *Announcer) announce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -373,14 +410,14 @@
 		return errors.Wrap(err, "encode the leaving backend server")
 	}
 	a.mu.Lock()
-	record := a.leavings % leavingRecords
+	record := a.recorded % leavingRecords
 	a.mu.Unlock()
-	if err := a.config.Store.Put(ctx, MembersTable, leavingKey(self.GetId(), record), payload); err != nil {
+	if err := a.putLeaving(ctx, leavingKey(self.GetId(), record), payload); err != nil {
 		return err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.leavings++
+	a.recorded++
 	return nil
 }
 
@@ -417,6 +454,7 @@
 		a.table.AddContacts(address)
 		a.mu.Unlock()
 		if strings.HasPrefix(entry.Key, a.config.Self.GetId()+leavingSuffix) {
+			a.keepLeaving(entry.Key, entry.Value)
 			a.reportFormerBackends(member.GetBackend())
 		}
 	}
--- a/internal/process/runner/drain.go
+++ b/internal/process/runner/drain.go
@@ -142,6 +142,7 @@
 func (n *Node) Status() administrator.Status {
 	load := n.executor.Load()
 	packets, bytes := n.announcer.SentTraffic()
+	era, restored := n.announcer.Era()
 	state := "serving"
 	select {
 	case <-n.draining:
@@ -155,6 +156,8 @@
 		Service:         n.config.Service.String(),
 		State:           state,
 		SettingsVersion: n.follower.State().Version,
+		StoreEra:        era,
+		StoreRestored:   restored,
 		InFlight:        load.InFlight,
 		Limit:           load.Limit,
 		Queued:          load.Queued,
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -50,7 +50,6 @@
 	"github.com/laburnumshelf/laburnumshelf/internal/version/verifier"
 	"github.com/laburnumshelf/laburnumshelf/internal/version/watcher"
 	"github.com/laburnumshelf/laburnumshelf/internal/wire/encoder"
-	"github.com/laburnumshelf/laburnumshelf/internal/wire/logclient"
 	"github.com/laburnumshelf/laburnumshelf/platform"
 )
 
@@ -85,6 +84,8 @@
 	verifier *verifier.Verifier
 	quotas   *quotalimiter.Limiter
 
+	// store is nil without a store.
+	store *platform.Store
 	// watcher and enroller are nil outside the users' platform.
 	watcher  *watcher.Watcher
 	enroller *enroller.Enroller
@@ -146,10 +147,7 @@
 // assemble builds the parts of the node and connects them.
 func (n *Node) assemble() {
 	config := n.config
-	var store logclient.Store
-	if config.LogURL != "" {
-		store = platform.NewStore(config.LogURL)
-	}
+	store := n.openStore()
 	seed := rand.NewPCG(n.self.GetIncarnation(), uint64(len(config.ID)))
 	inbound := tracker.NewTable()
 	n.follower = follower.New(n.settingsLog(store))
@@ -222,6 +220,9 @@
 		},
 		OnFormerBackend: n.markFormerBackend,
 		OnQuota:         n.quotas.Receive,
+		StoreEra:        n.storeEra,
+		OnEra:           n.reportEra,
+		OnRestored:      n.reportRestoration,
 		Rand:            rand.New(rand.NewPCG(n.self.GetIncarnation(), 1)),
 	})
 	n.synchronizer = synchronizer.New(synchronizer.Config{
