Soak drills of the store with real processes, and document them

Six nodes (SOAK_MACHINES) with clients: the store goes away and comes back from an older copy, several times in a row, while nodes stop, one is killed and the settings change. Checked: versions never go back and are in force everywhere, records are back, no request is lost. status shows the era.

--- a/cmd/laburnumshelf/soak_machine_test.go
+++ b/cmd/laburnumshelf/soak_machine_test.go
@@ -27,6 +27,7 @@
 	callAddr string
 	control  string
 	ready    string
+	admin    string
 	server   *httptest.Server
 	// conns are the kept connections of the backend server to its node.
 	conns chan *soakConn
@@ -55,6 +56,7 @@
 		callAddr: freeAddress(s.t),
 		control:  freeAddress(s.t),
 		ready:    freeAddress(s.t),
+		admin:    freeAddress(s.t),
 		conns:    make(chan *soakConn, 100),
 	}
 	m.server = httptest.NewServer(http.HandlerFunc(m.serve))
@@ -62,7 +64,7 @@
 	settings := fmt.Sprintf(`{"id": %q, "region": "r", "zone": "z", "service": "platform/%s", "callAddress": %q, "adminAddress": %q,
 		"peerAddress": %q, "backendAddress": %q, "logUrl": %q, "stopTimeout": %q, "decisionsKept": 64, "logLevel": "warning",
 		"platform": {"readinessAddress": %q, "registryAddress": %q, "heartbeatInterval": %q}}`,
-		m.name, service, m.callAddr, freeAddress(s.t), freeAddress(s.t), m.server.Listener.Addr(), s.storeURL, soakGrace, m.ready, m.control, soakHeartbeat)
+		m.name, service, m.callAddr, m.admin, freeAddress(s.t), m.server.Listener.Addr(), s.storeURL, soakGrace, m.ready, m.control, soakHeartbeat)
 	if err := os.WriteFile(m.settings, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -113,6 +115,20 @@
 	m.awaitReady()
 }
 
+// kill ends the node at once and starts it again after a pause.
+func (m *soakMachine) kill(pause time.Duration) {
+	m.stopping.Lock()
+	defer m.stopping.Unlock()
+	m.mu.Lock()
+	cmd := m.cmd
+	m.mu.Unlock()
+	cmd.Process.Kill()
+	cmd.Wait()
+	time.Sleep(pause)
+	m.start()
+	m.awaitReady()
+}
+
 // hangUp sends a SIGHUP to the node unless it starts, since it may not handle signals yet.
 func (m *soakMachine) hangUp() {
 	if !m.stopping.TryLock() {
--- a/cmd/laburnumshelf/stop_soak_test.go
+++ b/cmd/laburnumshelf/stop_soak_test.go
@@ -116,6 +116,7 @@
 	dir      string
 	store    *logserver.Store
 	storeURL string
+	traffic  *countingHandler
 	machines []*soakMachine
 	count    atomic.Int64
 	// stockRuns is the number of calls that the back service has run.
@@ -123,6 +124,8 @@
 	// highLoad reports that the load is high.
 	highLoad atomic.Bool
 	stop     chan struct{}
+	// quiet is closed to end the clients before the soak stops.
+	quiet chan struct{}
 
 	mu        sync.Mutex
 	runs      map[string][]*soakRun
@@ -133,7 +136,8 @@
 func newSoak(t *testing.T, shape soakShape) *soak {
 	t.Helper()
 	store := logserver.New(logserver.Retention{})
-	server := httptest.NewServer(store.Handler())
+	traffic := &countingHandler{handler: store.Handler()}
+	server := httptest.NewServer(traffic)
 	t.Cleanup(server.Close)
 	s := &soak{
 		t:        t,
@@ -141,11 +145,13 @@
 		dir:      t.TempDir(),
 		store:    store,
 		storeURL: server.URL,
+		traffic:  traffic,
 		stop:     make(chan struct{}),
+		quiet:    make(chan struct{}),
 		runs:     make(map[string][]*soakRun),
 	}
 	s.configure(1)
-	for i := range 6 {
+	for i := range soakSetting("SOAK_MACHINES", 6) {
 		s.addMachine(i, []string{"front", "back"}[i%2])
 	}
 	for _, m := range s.machines {
@@ -192,6 +198,11 @@
 // the process is gone, like a client that does not notice a planned stop.
 func (m *soakMachine) runClient(rng *rand.Rand) {
 	var conn *soakConn
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
 	shape := m.s.shape
 	for {
 		longest := shape.calmPause
@@ -200,9 +211,8 @@
 		}
 		select {
 		case <-m.s.stop:
-			if conn != nil {
-				conn.Close()
-			}
+			return
+		case <-m.s.quiet:
 			return
 		case <-time.After(time.Duration(rng.Int64N(int64(longest)))):
 		}
--- a/internal/cli/commander/cmd_status.go
+++ b/internal/cli/commander/cmd_status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -12,7 +13,7 @@
 var statusCommand = command{
 	name:  "status",
 	short: "Print the state of all nodes",
-	long:  "Asks one node for its members, and each member for its limit, load, threshold and the settings version in force.",
+	long:  "Asks one node for its members, and each member for its limit, load, threshold and the settings version in force. The column STORE is the era of the store that the member knows, - if it knows none, with a * while the member's records there may be missing.",
 	newRun: func(env *environment) flags.Commander {
 		return &statusRun{
 			env: env,
@@ -41,12 +42,12 @@
 		return err
 	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "%-28s %-9s %-24s %-22s %8s %5s/%-5s %6s %9s %7s\n",
-		"NODE", "STATE", "ZONE", "SERVICE", "SETTINGS", "BUSY", "LIMIT", "QUEUED", "THRESHOLD", "MEMBERS")
+	fmt.Fprintf(&text, "%-28s %-9s %-24s %-22s %8s %5s/%-5s %6s %9s %7s %6s\n",
+		"NODE", "STATE", "ZONE", "SERVICE", "SETTINGS", "BUSY", "LIMIT", "QUEUED", "THRESHOLD", "MEMBERS", "STORE")
 	for _, node := range nodes {
-		fmt.Fprintf(&text, "%-28s %-9s %-24s %-22s %8d %5d/%-5d %6d %9d %7d\n",
+		fmt.Fprintf(&text, "%-28s %-9s %-24s %-22s %8d %5d/%-5d %6d %9d %7d %6s\n",
 			node.ID, node.State, node.Region+"/"+node.Zone, node.Service, node.SettingsVersion,
-			node.InFlight, node.Limit, node.Queued, node.Threshold, node.Members)
+			node.InFlight, node.Limit, node.Queued, node.Threshold, node.Members, storeText(node))
 	}
 	for _, member := range unreachable {
 		fmt.Fprintf(&text, "%-28s %-9s %-24s %-22s %8s\n", member.ID, member.State, member.Region+"/"+member.Zone, member.Service, "no answer")
@@ -57,3 +58,16 @@
 		Unreachable: unreachable,
 	}, text.String())
 }
+
+// storeText returns the era of the store that a node knows, with a mark while its records may be
+// missing there.
+func storeText(node administrator.Status) string {
+	if node.StoreEra < 0 {
+		return "-"
+	}
+	text := strconv.FormatInt(node.StoreEra, 10)
+	if !node.StoreRestored {
+		text += "*"
+	}
+	return text
+}
