--- a/internal/replay/assembler/fault.go
+++ b/internal/replay/assembler/fault.go
@@ -44,7 +44,7 @@
 		return func() {
 			f.thaw(affected)
 		}
-	case tracer.FaultLogDown:
+	case tracer.FaultLogDown, tracer.FaultLogRestored:
 		// The in-process fleet does not use the log.
 	}
 	return func() {}
--- a/internal/replay/spawner/node.go
+++ b/internal/replay/spawner/node.go
@@ -212,6 +212,9 @@
 	case tracer.FaultLogDown:
 		f.setLogDown(true)
 		return func() { f.setLogDown(false) }
+	case tracer.FaultLogRestored:
+		backup := f.log.Copy()
+		return func() { f.log.Restore(backup) }
 	}
 	return func() {}
 }
--- a/internal/replay/tracer/parse.go
+++ b/internal/replay/tracer/parse.go
@@ -115,7 +115,7 @@
 		requireService(arrival.Service, "arrival "+arrival.Name)
 	}
 	for _, fault := range trace.Faults {
-		if fault.Kind != FaultLogDown {
+		if fault.Kind != FaultLogDown && fault.Kind != FaultLogRestored {
 			requireService(fault.Service, "fault "+string(fault.Kind))
 		}
 	}
@@ -227,7 +227,7 @@
 	object := node.Object("kind", "at", "for", "service", "targets", "factorPercent")
 	object.Require("kind", "at")
 	kinds := []string{
-		string(FaultSlow), string(FaultKill), string(FaultDrain), string(FaultCold), string(FaultLogDown), string(FaultFreeze),
+		string(FaultSlow), string(FaultKill), string(FaultDrain), string(FaultCold), string(FaultLogDown), string(FaultLogRestored), string(FaultFreeze),
 	}
 	return Fault{
 		Kind:     FaultKind(object.OneOf("kind", "", kinds...)),
--- a/internal/replay/tracer/tracer.go
+++ b/internal/replay/tracer/tracer.go
@@ -119,6 +119,9 @@
 	FaultCold FaultKind = "cold"
 	// FaultLogDown makes the platform's log unavailable.
 	FaultLogDown FaultKind = "logDown"
+	// FaultLogRestored takes a copy of the platform's log when it starts, and brings the log
+	// back from that copy when it ends.
+	FaultLogRestored FaultKind = "logRestored"
 	// FaultFreeze makes the nodes of targets stop answering while their
 	// connections stay open.
 	FaultFreeze FaultKind = "freeze"
