Check again that the server takes calls when one is sent

Change: the executor's check is made again right before the call is sent. The call is then not run, and its connection goes on to the next one.

--- a/internal/connection/forwarder/conn.go
+++ b/internal/connection/forwarder/conn.go
@@ -176,6 +176,14 @@
 	c.pool.releaseSlot()
 }
 
+// keep returns a connection that has carried no request since it was taken.
+func (c *conn) keep() {
+	if c.usableUntil.IsZero() {
+		c.usableUntil = time.Now().Add(defaultIdleTimeout)
+	}
+	c.pool.put(c)
+}
+
 // idleTimeoutFromHeaders returns how long a connection may stay idle after an answer with
 // the headers h. It is a little less than the timeout that the backend server states.
 func idleTimeoutFromHeaders(h http.Header) time.Duration {
--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -96,6 +96,12 @@
 	if err != nil {
 		return nil, caller.MarkNotSent(errors.Wrap(err, "get a connection to the backend server"))
 	}
+	if call.BeforeSend != nil {
+		if err := call.BeforeSend(); err != nil {
+			c.keep()
+			return nil, caller.MarkNotSent(err)
+		}
+	}
 	f.config.Dialect.SetTimeout(req.Header, call.Deadline)
 	resp, err := c.exchange(ctx, req, func(resp *http.Response) error {
 		err := f.checkAnswer(resp, call)
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -239,6 +239,9 @@
 	// Zone is the availability zone of the caller's node.
 	Zone string
 	Body *Body
+	// BeforeSend is called right before the call is sent to the backend server, after any wait
+	// for a connection. An error keeps the call from being sent. It may be nil.
+	BeforeSend func() error
 	// Overdue tells when an attempt takes much longer than usual. It may be nil.
 	Overdue *Overdue
 }
--- a/internal/request/caller/errors.go
+++ b/internal/request/caller/errors.go
@@ -15,3 +15,6 @@
 
 // ErrStopping marks a failure because this node closed its sessions to stop.
 var ErrStopping = errors.New("node is stopping")
+
+// ErrLeaving is the error of a call that was not sent because the backend server takes no new calls.
+var ErrLeaving = errors.New("the backend server takes no new calls")
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -310,7 +310,7 @@
 		e.config.Downstream.RecordRun(time.Now(), call.Charged)
 	}
 	finishPath := e.startPath(call.Route)
-	answer, err := e.config.Backend.Do(ctx, call)
+	answer, err := e.config.Backend.Do(ctx, e.guarded(call, start))
 	// complete reports whether the run ended with an answer other than a failure.
 	complete := false
 	release := func(overloaded bool) {
@@ -351,11 +351,24 @@
 	return answer
 }
 
+// guarded returns the call with a check that the given start of the backend server still takes calls
+// when it is sent, which may be long after it got its slot.
+func (e *Executor) guarded(call *caller.Call, start int) *caller.Call {
+	guarded := *call
+	guarded.BeforeSend = func() error {
+		if now, current := e.currentStart(call); !current || now != start {
+			return caller.ErrLeaving
+		}
+		return nil
+	}
+	return &guarded
+}
+
 // isOverloadError reports whether the error of a failed run counts as overload. Every
 // error does, unless the caller broke off its request body or the context of the run has
 // ended; an error marked ErrNotSent counts even then.
 func isOverloadError(ctx context.Context, err error) bool {
-	if errors.Is(err, caller.ErrRequestBody) {
+	if errors.IsAny(err, caller.ErrRequestBody, caller.ErrLeaving) {
 		return false
 	}
 	return errors.Is(err, caller.ErrNotSent) || ctx.Err() == nil
@@ -380,6 +393,8 @@
 // before the end of the run cancels it.
 func failureReason(ctx context.Context, err error) caller.Reason {
 	switch {
+	case errors.Is(err, caller.ErrLeaving):
+		return caller.ReasonLeaving
 	case errors.Is(err, caller.ErrNotSent):
 		return caller.ReasonBackendUnreachable
 	case errors.Is(err, caller.ErrRequestBody):
@@ -395,7 +410,7 @@
 
 // backendError returns the answer for a failed run.
 func (e *Executor) backendError(call *caller.Call, entry *deduplicator.Entry, reason caller.Reason, err error) *caller.Answer {
-	if reason == caller.ReasonBackendUnreachable {
+	if errors.Is(err, caller.ErrNotSent) {
 		answer := e.refuseNotRun(call, entry, reason)
 		answer.Detail = err.Error()
 		return answer
--- a/internal/request/executor/notice_test.go
+++ b/internal/request/executor/notice_test.go
@@ -330,3 +330,45 @@
 		t.Error("next start: got a known rate limit, want an unknown one")
 	}
 }
+
+// waitingBackend waits like a backend without a free connection, and then sends the call if it may.
+type waitingBackend struct {
+	wait chan struct{}
+	sent int
+}
+
+// Do implements caller.Backend.
+func (w *waitingBackend) Do(_ context.Context, call *caller.Call) (*caller.Answer, error) {
+	<-w.wait
+	if err := call.BeforeSend(); err != nil {
+		return nil, caller.MarkNotSent(err)
+	}
+	w.sent++
+	return &caller.Answer{Status: 200, Body: io.NopCloser(strings.NewReader("x"))}, nil
+}
+
+// TestServerThatLeftGetsAnAdmittedCall guards against calls that got a slot, wait for a connection and
+// reach the backend server long after it has left, or its next start.
+func TestServerThatLeftGetsAnAdmittedCall(t *testing.T) {
+	for name, leave := range map[string]func(*Executor){
+		"left":       func(e *Executor) { e.SetBackend("", time.Unix(9, 0), 10) },
+		"next start": func(e *Executor) { e.SetBackend("i-1", time.Unix(10, 0), 10) },
+	} {
+		b := &waitingBackend{wait: make(chan struct{})}
+		e := newSizedExecutor(0)
+		e.config.Backend, e.config.Registers = b, true
+		e.SetBackend("i-1", time.Unix(9, 0), 10)
+		done := make(chan *caller.Answer, 1)
+		go func() {
+			done <- e.Execute(context.Background(), &caller.Call{CallID: "c", Instance: "i-1", Idempotent: true, Deadline: time.Now().Add(10 * time.Second)})
+		}()
+		for e.Load().InFlight == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		leave(e)
+		close(b.wait)
+		if got := <-done; got.Outcome != caller.NotRun || got.Reason != caller.ReasonLeaving || b.sent > 0 {
+			t.Errorf("%s: got outcome %v with reason %v, %d calls sent, want not run, leaving", name, got.Outcome, got.Reason, b.sent)
+		}
+	}
+}
