Notice clients that leave during an upload

Change: the node asks the system whether the client of a long upload has left; a message cancels a call during its upload at the target's node; the connection to the server is then reset instead of closed behind 4 MB.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -66,6 +66,21 @@
 	open int
 	// idle is closed once open is 0. It is nil before Shutdown.
 	idle chan struct{}
+	// running holds the functions that cancel the calls that are being served.
+	running map[callKey]context.CancelFunc
+}
+
+// callKey identifies an attempt of a call.
+type callKey struct {
+	id      string
+	attempt uint32
+}
+
+func keyOf(head *encoder.CallHead) callKey {
+	return callKey{
+		id:      head.GetCallId(),
+		attempt: head.GetAttempt(),
+	}
 }
 
 // New returns an Acceptor.
@@ -76,6 +91,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		sessions: make(map[*yamux.Session]*sessionizer.Conn),
+		running:  make(map[callKey]context.CancelFunc),
 	}
 }
 
@@ -127,16 +143,28 @@
 	return a.idle
 }
 
-func (a *Acceptor) beginCall() {
+func (a *Acceptor) beginCall(key callKey, cancel context.CancelFunc) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open++
+	a.running[key] = cancel
+}
+
+// cancelCall cancels a call whose caller has left.
+func (a *Acceptor) cancelCall(head *encoder.CallHead) {
+	a.mu.Lock()
+	cancel := a.running[keyOf(head)]
+	a.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
 }
 
-func (a *Acceptor) endCall() {
+func (a *Acceptor) endCall(key callKey) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open--
+	delete(a.running, key)
 	if a.open > 0 || a.idle == nil {
 		return
 	}
@@ -202,6 +230,10 @@
 	stream.SetReadDeadline(time.Time{})
 	switch kind := head.GetKind().(type) {
 	case *encoder.StreamHead_Call:
+		if kind.Call.GetCancel() {
+			a.cancelCall(kind.Call)
+			return
+		}
 		a.serveCall(stream, reader, kind.Call)
 	case *encoder.StreamHead_Settings:
 		a.serveSettings(stream, kind.Settings)
@@ -219,10 +251,10 @@
 }
 
 func (a *Acceptor) serveCall(stream *yamux.Stream, reader *bufio.Reader, head *encoder.CallHead) {
-	a.beginCall()
-	defer a.endCall()
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
+	a.beginCall(keyOf(head), cancel)
+	defer a.endCall(keyOf(head))
 	weight := callWeight(head)
 	if !a.admit(weight, head.GetResolveOnly()) {
 		if head.GetToken() == nil {
--- a/internal/connection/acceptor/confirmation_test.go
+++ b/internal/connection/acceptor/confirmation_test.go
@@ -102,3 +102,37 @@
 		}
 	}
 }
+
+// TestCallerThatLeavesDuringItsUploadIsNoticed guards against a backend server that works on for a
+// caller that has left, because the node reads the request body only as fast as the server takes it.
+func TestCallerThatLeavesDuringItsUploadIsNoticed(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	p := newPair(t, func(ctx context.Context, call *caller.Call) *caller.Answer {
+		call.Body.Reader().Read(make([]byte, 1))
+		close(began)
+		select {
+		case <-ctx.Done():
+			close(ended)
+		case <-time.After(10 * time.Second):
+		}
+		return caller.NewFailure(caller.Unknown, caller.ReasonCanceled)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		_, err := p.call(ctx, "x", strings.NewReader(strings.Repeat("b", 2<<20)))
+		done <- err
+	}()
+	<-began
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	if err := <-done; err == nil {
+		t.Error("got an answer, want the error of the canceled call")
+	}
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the call still runs 5s after its caller has left")
+	}
+}
--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -24,6 +24,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -172,7 +173,9 @@
 	call.Overdue.Handle(func() {
 		s.endIfSevered(stream)
 	})
-	answer, err := exchange(ctx, stream, call)
+	answer, err := exchange(ctx, stream, call, func() {
+		sendCancel(p, call)
+	})
 	if err != nil && d.isClosed() {
 		err = errors.Mark(err, caller.ErrStopping)
 	}
@@ -185,16 +188,41 @@
 	return d.closed
 }
 
+// cancelTimeout limits the sending of a message that cancels a call.
+const cancelTimeout = time.Second
+
+// sendCancel tells the target's node that a call has ended whose body is not sent. That node reads the
+// stream of the call only as fast as the backend server takes the body, so it does not learn from it.
+func sendCancel(p *peer, call *caller.Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	stream, _, err := p.open(ctx, false)
+	if err != nil {
+		return
+	}
+	defer stream.Close()
+	stream.SetWriteDeadline(time.Now().Add(cancelTimeout))
+	encoder.WriteFrame(stream, &encoder.StreamHead{
+		Kind: &encoder.StreamHead_Call{
+			Call: translator.CancelHead(call),
+		},
+	})
+}
+
 // exchange sends the call on a new stream and returns its answer. Closing the
-// answer's body closes the stream.
-func exchange(ctx context.Context, stream *yamux.Stream, call *caller.Call) (*caller.Answer, error) {
+// answer's body closes the stream. cancel is called if ctx ends while the body is being sent.
+func exchange(ctx context.Context, stream *yamux.Stream, call *caller.Call, cancel func()) (*caller.Answer, error) {
+	bodySent := &atomic.Bool{}
 	// Closing the stream unblocks reads and writes and cancels the call at the
 	// target's node.
 	stop := context.AfterFunc(ctx, func() {
 		stream.Close()
 		stream.SetDeadline(time.Unix(1, 0))
+		if !bodySent.Load() && call.Token == nil {
+			cancel()
+		}
 	})
-	answer, err := roundTrip(stream, call)
+	answer, err := roundTrip(stream, call, bodySent)
 	if ctx.Err() != nil && !readArrived(stream, answer, err) {
 		// The answer that has arrived, if any, may itself only report the cancellation.
 		err = errors.CombineErrors(ctx.Err(), err)
@@ -231,8 +259,9 @@
 	return err == nil
 }
 
-// roundTrip sends the call and reads the answer up to its body.
-func roundTrip(stream *yamux.Stream, call *caller.Call) (*caller.Answer, error) {
+// roundTrip sends the call and reads the answer up to its body. It sets bodySent once the request
+// body was sent.
+func roundTrip(stream *yamux.Stream, call *caller.Call, bodySent *atomic.Bool) (*caller.Answer, error) {
 	head := &encoder.StreamHead{
 		Kind: &encoder.StreamHead_Call{
 			Call: translator.CallHead(call, time.Now()),
@@ -244,13 +273,16 @@
 		if err := sendBuffered(stream, head, call.Body); err != nil {
 			return nil, errors.Wrap(err, "send call")
 		}
+		bodySent.Store(true)
 		sent <- nil
 	} else {
 		if err := encoder.WriteFrame(stream, head); err != nil {
 			return nil, errors.Wrap(err, "send call")
 		}
 		go func() {
-			sent <- sendBody(stream, call.Body)
+			err := sendBody(stream, call.Body)
+			bodySent.Store(err == nil)
+			sent <- err
 		}()
 	}
 	reader := encoder.NewStreamReader(arrivedReader{stream})
--- a/internal/connection/forwarder/conn.go
+++ b/internal/connection/forwarder/conn.go
@@ -53,8 +53,8 @@
 // exchange sends a request and returns the answer that check accepts. The caller must
 // close the body of the answer, which returns the connection to the pool or closes it.
 func (c *conn) exchange(ctx context.Context, req *http.Request, check func(*http.Response) error) (*http.Response, error) {
-	watcher := newCancelWatcher(ctx, c.Conn, c.pool.config.CancelGrace)
 	sent := newSending()
+	watcher := newCancelWatcher(ctx, c.Conn, sent, c.pool.config.CancelGrace)
 	if req.Body == nil || (req.ContentLength >= 0 && req.ContentLength <= maxSyncBodyBytes) {
 		sent.end(c.send(req))
 	} else {
--- a/internal/connection/forwarder/end_test.go
+++ b/internal/connection/forwarder/end_test.go
@@ -132,3 +132,25 @@
 		t.Errorf("got proof %q and headers %v, want p, no X-Hop and Content-Length 7", got.Proof, got.Header)
 	}
 }
+
+// TestCanceledUploadIsReadToItsEnd guards against a backend server that reads what the system has
+// buffered of a canceled upload before it learns that nobody waits for its answer.
+func TestCanceledUploadIsReadToItsEnd(t *testing.T) {
+	const most = 1 << 20
+	read := make(chan int64, 1)
+	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+		c.(*net.TCPConn).SetReadBuffer(64 << 10)
+		http.ReadRequest(r)
+		time.Sleep(300 * time.Millisecond)
+		n, _ := io.Copy(io.Discard, r)
+		read <- n
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := b.forwarder(t).Do(ctx, upload(t, 16<<20)); err == nil {
+		t.Error("got an answer, want the error of a canceled call")
+	}
+	if got := <-read; got > most {
+		t.Errorf("the server read %d bytes after the call was canceled, want at most %d", got, most)
+	}
+}
--- a/internal/connection/screener/handler.go
+++ b/internal/connection/screener/handler.go
@@ -1,6 +1,7 @@
 package screener
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -39,6 +40,11 @@
 		head:       c.charged,
 	}
 	r.Body = body
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	body.watch = newDepartureWatch(c.Conn, r.ContentLength, cancel)
+	defer body.watch.stop()
+	r = r.WithContext(ctx)
 	c.setPhase(evictor.Body)
 	defer func() {
 		if !body.refused {
@@ -75,6 +81,8 @@
 	refused bool
 	// ended is set when the whole body was read, or reading it failed.
 	ended bool
+	// watch tells when the client leaves while the body is not read.
+	watch *departureWatch
 }
 
 // Read implements io.ReadCloser. It aborts the handler if the body does not fit.
@@ -83,6 +91,7 @@
 	if err != nil {
 		b.ended = true
 	}
+	b.watch.observe(n, err)
 	if b.bytes >= caller.PrefetchBytes {
 		return n, err
 	}
--- a/internal/connection/translator/translator.go
+++ b/internal/connection/translator/translator.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// CancelHead returns the wire message that cancels a call. Nodes that do not know such messages take it
+// for a query about a token that no target has.
+func CancelHead(call *caller.Call) *encoder.CallHead {
+	return &encoder.CallHead{
+		CallId:      call.CallID,
+		Attempt:     call.Attempt,
+		Cancel:      true,
+		ResolveOnly: true,
+		Token:       &encoder.Token{},
+	}
+}
+
 // Call returns the call that a wire message describes, without its body. A priority
 // above the highest one becomes the highest.
 func Call(head *encoder.CallHead, now time.Time) *caller.Call {
