--- a/internal/connection/forwarder/end_test.go
+++ b/internal/connection/forwarder/end_test.go
@@ -137,11 +137,11 @@
 // buffered of a canceled upload before it learns that nobody waits for its answer.
 func TestCanceledUploadIsReadToItsEnd(t *testing.T) {
 	const most = 1 << 20
-	read := make(chan int64, 1)
+	canceled, read := make(chan struct{}), make(chan int64, 1)
 	b := serve(t, func(c net.Conn, r *bufio.Reader) {
 		c.(*net.TCPConn).SetReadBuffer(64 << 10)
 		http.ReadRequest(r)
-		time.Sleep(300 * time.Millisecond)
+		<-canceled
 		n, _ := io.Copy(io.Discard, r)
 		read <- n
 	})
@@ -150,6 +150,7 @@
 	if _, err := b.forwarder(t).Do(ctx, upload(t, 16<<20)); err == nil {
 		t.Error("got an answer, want the error of a canceled call")
 	}
+	close(canceled)
 	if got := <-read; got > most {
 		t.Errorf("the server read %d bytes after the call was canceled, want at most %d", got, most)
 	}
