Print what the nodes logged of a request that a soak finds broken

TestDrillsOfTheStore failed 1 of 8 runs beside a load of 40 (three pages got 502 while their server worked), and nothing told why.

--- a/cmd/laburnumshelf/soak_judge_test.go
+++ b/cmd/laburnumshelf/soak_judge_test.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"time"
 )
 
@@ -131,12 +134,28 @@
 		if count++; count <= 20 {
 			s.t.Errorf("request %s (%s) at %s, sent %s after SIGTERM, status %d after %s of %s: %s",
 				e.id, e.route, e.machine.name, sinceStop(e), e.status, e.ended.Sub(e.sent), s.timeout(e), verdict)
+			s.logDecisions(e.id)
 		}
 	}
 	s.t.Logf("seed %d: %d stops, %d requests by status %s, %d broken %s", seed, s.stopCount(), len(s.exchanges), toJSON(statuses), count, toJSON(broken))
 	s.t.Logf("seed %d: part refused by route and load %s, part of runs that are repeats %s", seed, toJSON(s.refusedParts()), toJSON(s.repeatedParts()))
 }
 
+// logDecisions prints what the logs of the nodes say of a request. They may leave out lines.
+func (s *soak) logDecisions(id string) {
+	for _, m := range s.machines {
+		content, err := os.ReadFile(filepath.Join(s.dir, m.name+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(content)) {
+			if strings.Contains(line, "request="+id+" ") {
+				s.t.Logf("%s: %s", m.name, strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // sinceStop returns how long after the last stop of its node a request was sent, or -1 without one.
 func sinceStop(e soakExchange) time.Duration {
 	after := time.Duration(-1)
