--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -131,32 +131,40 @@
 	attempts                    int
 }
 
-// configure writes a version of the configuration to the store, as the operator does.
+// configure writes a version of the configuration with one host.
 func (f *fleet) configure(version int, host string, rules []rule) error {
-	var list []any
-	clusters := map[string]bool{}
-	for _, r := range rules {
-		clusters[r.service] = true
-		list = append(list, map[string]any{
-			"name": r.name, "kind": r.kind, "aimS": 1.5, "priority": 0,
-			"routeMatch":  map[string]any{"pathPrefix": r.prefix},
-			"routeAction": map[string]any{"service": r.service, "timeoutS": r.timeout, "maxAttempts": r.attempts},
-		})
+	return f.configureHosts(version, map[string][]rule{host: rules})
+}
+
+// configureHosts writes a version of the configuration to the store, as the operator does.
+func (f *fleet) configureHosts(version int, hosts map[string][]rule) error {
+	var listeners, clusters []any
+	services := map[string]bool{}
+	for host, rules := range hosts {
+		var list []any
+		for _, r := range rules {
+			services[r.service] = true
+			list = append(list, map[string]any{
+				"name": r.name, "kind": r.kind, "aimS": 1.5, "priority": 0,
+				"routeMatch":  map[string]any{"pathPrefix": r.prefix},
+				"routeAction": map[string]any{"service": r.service, "timeoutS": r.timeout, "maxAttempts": r.attempts},
+			})
+		}
+		listeners = append(listeners, map[string]any{"host": host, "rules": list})
+		f.record.line("operator writes version %d: host %s with %d routes", version, host, len(rules))
 	}
-	var services []any
-	for name := range clusters {
-		services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 748, "protocol": "h1", "tls": false})
+	for name := range services {
+		clusters = append(clusters, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 748, "protocol": "h1", "tls": false})
 	}
 	content, err := json.Marshal(map[string]any{
 		"version":   fmt.Sprintf("%08x", version),
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
-		"listeners": []any{map[string]any{"host": host, "rules": list}},
-		"clusters":  services,
+		"listeners": listeners,
+		"clusters":  clusters,
 	})
 	if err != nil {
 		return err
 	}
-	f.record.line("operator writes version %d with %d routes", version, len(rules))
 	return f.store.Put(context.Background(), "op", "config", content)
 }
 
