--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -129,6 +129,41 @@
 	name, kind, prefix, service string
 	timeout                     float64
 	attempts                    int
+	// parts divide the requests among services, in place of service.
+	parts []part
+}
+
+// part is a service and its weight.
+type part struct {
+	service string
+	weight  float64
+}
+
+// action returns where the requests of a route go.
+func (r rule) action() map[string]any {
+	action := map[string]any{"timeoutS": r.timeout, "maxAttempts": r.attempts}
+	if len(r.parts) == 0 {
+		action["service"] = r.service
+		return action
+	}
+	var parts []any
+	for _, p := range r.parts {
+		parts = append(parts, map[string]any{"service": p.service, "weight": p.weight})
+	}
+	action["weightedClusters"] = parts
+	return action
+}
+
+// services returns the services of a route.
+func (r rule) services() []string {
+	if len(r.parts) == 0 {
+		return []string{r.service}
+	}
+	var names []string
+	for _, p := range r.parts {
+		names = append(names, p.service)
+	}
+	return names
 }
 
 // configure writes a version of the configuration with one host.
@@ -143,11 +178,13 @@
 	for host, rules := range hosts {
 		var list []any
 		for _, r := range rules {
-			services[r.service] = true
+			for _, name := range r.services() {
+				services[name] = true
+			}
 			list = append(list, map[string]any{
 				"name": r.name, "kind": r.kind, "aimS": 1.5, "priority": 0,
 				"routeMatch":  map[string]any{"pathPrefix": r.prefix},
-				"routeAction": map[string]any{"service": r.service, "timeoutS": r.timeout, "maxAttempts": r.attempts},
+				"routeAction": r.action(),
 			})
 		}
 		listeners = append(listeners, map[string]any{"host": host, "rules": list})
