--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -368,3 +368,12 @@
 	resp.Body.Close()
 	return resp.StatusCode/100 == 2
 }
+
+// deregister tells the node that the backend server ends.
+func (b *backend) deregister() {
+	body, _ := json.Marshal(map[string]any{"born": b.born.UnixMilli()})
+	client := &http.Client{Timeout: time.Second}
+	if resp, err := client.Post("http://"+b.node.control+"/-/Instances.Deregister/"+b.id, "application/json", bytes.NewReader(body)); err == nil {
+		resp.Body.Close()
+	}
+}
