--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -166,29 +166,19 @@
 	return names
 }
 
-// configure writes a version of the configuration with one host.
+// configure writes a version of the configuration with one host, as the operator does.
 func (f *fleet) configure(version int, host string, rules []rule) error {
-	return f.configureHosts(version, map[string][]rule{host: rules})
-}
-
-// configureHosts writes a version of the configuration to the store, as the operator does.
-func (f *fleet) configureHosts(version int, hosts map[string][]rule) error {
-	var listeners, clusters []any
+	var list, clusters []any
 	services := map[string]bool{}
-	for host, rules := range hosts {
-		var list []any
-		for _, r := range rules {
-			for _, name := range r.services() {
-				services[name] = true
-			}
-			list = append(list, map[string]any{
-				"name": r.name, "kind": r.kind, "aimS": 1.5, "priority": 0,
-				"routeMatch":  map[string]any{"pathPrefix": r.prefix},
-				"routeAction": r.action(),
-			})
+	for _, r := range rules {
+		for _, name := range r.services() {
+			services[name] = true
 		}
-		listeners = append(listeners, map[string]any{"host": host, "rules": list})
-		f.record.line("operator writes version %d: host %s with %d routes", version, host, len(rules))
+		list = append(list, map[string]any{
+			"name": r.name, "kind": r.kind, "aimS": 1.5, "priority": 0,
+			"routeMatch":  map[string]any{"pathPrefix": r.prefix},
+			"routeAction": r.action(),
+		})
 	}
 	for name := range services {
 		clusters = append(clusters, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 748, "protocol": "h1", "tls": false})
@@ -196,12 +186,13 @@
 	content, err := json.Marshal(map[string]any{
 		"version":   fmt.Sprintf("%08x", version),
 		"limits":    map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
-		"listeners": listeners,
+		"listeners": []any{map[string]any{"host": host, "rules": list}},
 		"clusters":  clusters,
 	})
 	if err != nil {
 		return err
 	}
+	f.record.line("operator writes version %d with %d routes", version, len(rules))
 	return f.store.Put(context.Background(), "op", "config", content)
 }
 
@@ -228,8 +219,18 @@
 	backend *backend
 }
 
-// addNode assigns the addresses of a node and writes its settings from the template of the deploy file.
+// addNode adds a node that stays until the end of the case.
 func (f *fleet) addNode(name, zone, region, service string) (*node, error) {
+	n, err := f.newNode(name, zone, region, service)
+	if err != nil {
+		return nil, err
+	}
+	f.nodes = append(f.nodes, n)
+	return n, nil
+}
+
+// newNode assigns the addresses of a node and writes its settings from the template of the deploy file.
+func (f *fleet) newNode(name, zone, region, service string) (*node, error) {
 	n := &node{
 		fleet: f, name: name, service: service, memoryMB: memoryMB, slots: slots,
 		outbound: f.freeAddress(), readiness: f.freeAddress(), control: f.freeAddress(),
@@ -257,7 +258,6 @@
 		return nil, err
 	}
 	n.output, err = os.Create(filepath.Join(f.dir, name+".log"))
-	f.nodes = append(f.nodes, n)
 	return n, err
 }
 
