--- a/review/stand3/backend.go
+++ b/review/stand3/backend.go
@@ -25,7 +25,6 @@
 	once     sync.Once
 	serve    func(b *backend, conn net.Conn, r *http.Request, body []byte) bool
 	runs     atomic.Int64
-	raw      func(b *backend, conn net.Conn)
 
 	// state is what the heartbeats say.
 	state atomic.Value
@@ -118,10 +117,6 @@
 }
 
 func (b *backend) handle(conn net.Conn) {
-	if b.raw != nil {
-		b.raw(b, conn)
-		return
-	}
 	b.mu.Lock()
 	b.conns[conn] = true
 	b.mu.Unlock()
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -17,6 +17,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -68,7 +69,8 @@
 	storeAddress string
 	nodes        []*node
 	mu           sync.Mutex
-	ports        map[int]bool
+	// taken holds the addresses that freeAddress has returned.
+	taken map[string]bool
 }
 
 func newFleet(record *record) (*fleet, error) {
@@ -80,7 +82,7 @@
 		record: record,
 		dir:    dir,
 		store:  logserver.New(logserver.Retention{}),
-		ports:  make(map[int]bool),
+		taken:  make(map[string]bool),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -92,25 +94,33 @@
 	return f, nil
 }
 
+// The ports of the nodes lie below those that the system gives to outgoing connections. Otherwise one
+// of these could take the port of a node that is down.
+const (
+	firstPort = 10_240
+	portCount = 20_000
+)
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
 func (f *fleet) freeAddress() string {
 	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		port := listener.Addr().(*net.TCPAddr).Port
-		packets, err := net.ListenPacket("udp", listener.Addr().String())
+		packets, err := net.ListenPacket("udp", address)
 		listener.Close()
-		if err == nil {
-			packets.Close()
+		if err != nil {
+			continue
 		}
+		packets.Close()
 		f.mu.Lock()
-		taken := f.ports[port]
-		f.ports[port] = true
+		taken := f.taken[address]
+		f.taken[address] = true
 		f.mu.Unlock()
-		if err == nil && !taken {
-			return listener.Addr().String()
+		if !taken {
+			return address
 		}
 	}
 }
